--- a/packages/audit/src/audit.ts
+++ b/packages/audit/src/audit.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { every, type Clock } from '@bulrushspar/clock';
-import { ABSENT, type ObjectStore } from '@bulrushspar/platform';
+import { ABSENT, type ObjectStore } from '@bulrushspar/store';
 
 /** One change made by the system or an operator. */
 export interface AuditRecord {
--- a/packages/configuration/src/commit.ts
+++ b/packages/configuration/src/commit.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@bulrushspar/clock';
 import { parseSource, type Source } from '@bulrushspar/document';
 import type { Finding } from '@bulrushspar/errors';
-import { SETTLED, settleWrite, type ObjectStore, isStoreError } from '@bulrushspar/platform';
+import { SETTLED, settleWrite, type ObjectStore, isStoreError } from '@bulrushspar/store';
 import { checkConfiguration } from './check.js';
 import {
   applyChanges,
--- a/packages/configuration/src/follower.ts
+++ b/packages/configuration/src/follower.ts
@@ -1,7 +1,7 @@
 import { createAdapter } from '@most/adapter';
 import type { Stream } from '@most/types';
 import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
-import { followKind, type ObjectStore } from '@bulrushspar/platform';
+import { followKind, type ObjectStore } from '@bulrushspar/store';
 import { applyChanges } from './delta.js';
 import { digestChanges, digestConfiguration, type Digest } from './digest.js';
 import {
--- a/packages/configuration/src/root.ts
+++ b/packages/configuration/src/root.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { ABSENT, WRITE_OUTCOME, type ObjectStore, type Version } from '@bulrushspar/platform';
+import { ABSENT, WRITE_OUTCOME, type ObjectStore, type Version } from '@bulrushspar/store';
 import { applyChanges, type EntryChange } from './delta.js';
 import { documentSchema, SECTIONS, type Configuration, type SectionName } from './schema.js';
 
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,344 @@
+import { randomUUID } from 'node:crypto';
+import {
+  createDirectory,
+  type FleetConfiguration,
+  type ServerEntry,
+} from '@bulrushspar/catalogue';
+import { every, type Clock } from '@bulrushspar/clock';
+import { createRefusal, messageOf, REFUSAL, type Refusal } from '@bulrushspar/errors';
+import { createDemand, type EngineControl, type Outlook } from '@bulrushspar/loading';
+import type { Logger } from '@bulrushspar/logging';
+import type { Metrics } from '@bulrushspar/metrics';
+import { createPeerNetwork, type Link, type PeerHandlers } from '@bulrushspar/peer';
+import { createSuspects } from '@bulrushspar/routing';
+import {
+  createAdmission,
+  createModelWaits,
+  createServe,
+  createServerStates,
+  createServingMetrics,
+  type Call,
+  type SendCall,
+  type Serve,
+} from '@bulrushspar/serving';
+import { createRetryBudget } from '@bulrushspar/shares';
+import type { Incarnation, ObjectStore, ObjectView } from '@bulrushspar/store';
+import { createGossip } from './gossip.js';
+import { HOST_KIND, joinGroup, peersOf, readSecret } from './group.js';
+import {
+  MESSAGE,
+  type AdapterMessage,
+  type HostState,
+  type OutlookMessage,
+  type PullMessage,
+  type SuspectMessage,
+  type WantsMessage,
+} from './messages.js';
+import { createOrderDuty, type OrderDuty } from './orders.js';
+import { createQuotas, type QuotaTolerance } from './quotas.js';
+import { createSource } from './source.js';
+
+/** Where a host is and listens for the others. */
+export interface EntryHost {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly address: string;
+  readonly port: number;
+}
+
+/** How far the fleet's limits may be off, and how fast it must act. */
+export interface FleetBounds {
+  readonly quota: QuotaTolerance;
+  readonly repeatsPerRequest: number;
+  readonly repeatSlack: number;
+  readonly repeatWindowMilliseconds: number;
+  /** Pause between orders of two hosts to one server. */
+  readonly handoverMilliseconds: number;
+}
+
+/** Options of {@link startEntry}. */
+export interface EntryOptions<SomeCall extends Call> {
+  readonly host: EntryHost;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly store: ObjectStore;
+  /** Kinds under which the platform keeps what the entry follows. */
+  readonly kinds: { readonly configuration: string; readonly servers: string };
+  /** @returns undefined where there is no usable configuration */
+  readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
+  /** @returns undefined where an entry names no server to use */
+  readonly decodeServer: (name: string, value: unknown) => ServerEntry | undefined;
+  readonly control: EngineControl;
+  readonly send: SendCall<SomeCall>;
+  readonly bounds: FleetBounds;
+  /** The fleet starts for the first time. */
+  readonly firstStart: boolean;
+  readonly onConfiguration?: (configuration: FleetConfiguration) => void;
+  readonly onServers?: (servers: ReadonlyMap<string, ServerEntry>) => void;
+  readonly random?: () => number;
+}
+
+/** One running entry host of a fleet. */
+export interface Entry<SomeCall extends Call> {
+  readonly serve: Serve<SomeCall>;
+  /** Knows a configuration, so that it can serve. */
+  ready(): boolean;
+  /** Refuses new requests from now on. */
+  refuseNewWork(): void;
+  /** Gives up the duty of giving orders, so that another host takes it over. */
+  release(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Time between two states that a host tells the others. */
+const STATE_MILLISECONDS = 200;
+/** Time between two tellings of what requests wait for. */
+const WANTS_MILLISECONDS = 100;
+/** Silence after which a link counts as broken: several states. */
+const LINK_SILENCE_MILLISECONDS = 1200;
+const ADAPTER_MILLISECONDS = 1000;
+/** Retry-After of a host that stops: another host takes the request at once. */
+const STOPPING_SECONDS = 0.05;
+
+const stoppingRefusal = (): Refusal =>
+  createRefusal({
+    status: 503,
+    code: REFUSAL.STOPPING,
+    message: 'this host is stopping',
+    retryAfterSeconds: STOPPING_SECONDS,
+  });
+
+/** Starts an entry host; it serves as soon as it has a configuration. */
+export function startEntry<SomeCall extends Call>(
+  options: EntryOptions<SomeCall>,
+): Entry<SomeCall> {
+  const { host, clock, logger, store, kinds, bounds, random = Math.random } = options;
+  const { onConfiguration = () => {}, onServers = () => {} } = options;
+  const self: Incarnation = { host: host.name, incarnation: randomUUID() };
+  const stopping = new AbortController();
+  const releasing = new AbortController();
+  let configuration: FleetConfiguration | undefined;
+  let hosts = 1;
+  let refusing = false;
+
+  const network = () => peerNetwork;
+  let peerNetwork: ReturnType<typeof createPeerNetwork> | undefined;
+  const links = (): readonly Link[] => network()?.links() ?? [];
+  const broadcast = (type: string, body: unknown): void =>
+    links().forEach((link) => link.send(type, body));
+
+  const servers = createServerStates(clock);
+  const demand = createDemand({ clock });
+  const quotas = createQuotas({
+    clock,
+    linkedPart: () => Math.min(1, (links().length + 1) / hosts),
+    firstStart: options.firstStart,
+    tolerance: bounds.quota,
+  });
+  const suspects = createSuspects({ clock, onNews: (news) => broadcast(MESSAGE.SUSPECT, news) });
+  const budget = createRetryBudget({
+    clock,
+    ratio: bounds.repeatsPerRequest,
+    slack: bounds.repeatSlack,
+    windowMilliseconds: bounds.repeatWindowMilliseconds,
+    hosts: () => hosts,
+  });
+
+  const isLoaded = (model: string): boolean =>
+    [...servers.all()].some(
+      ({ entry }) => !entry.leaving && entry.models.some(({ name }) => name === model),
+    );
+  const waits = createModelWaits({ clock, onWant: () => tellWants() });
+  const admission = createAdmission({ bucketOf: quotas.of, random });
+
+  const directory = createDirectory({
+    clock,
+    onChange: (view) => {
+      servers.update(view);
+      duty.setServers(view);
+      onServers(view);
+      waits.noteReady(isLoaded);
+    },
+  });
+
+  const takeConfiguration = (view: ObjectView<unknown>): void => {
+    const next = options.decodeConfiguration(view);
+    if (!next || (configuration && next.version <= configuration.version)) return;
+    logger.info('configuration in force', { version: next.version, routes: next.routes.length });
+    configuration = next;
+    admission.update(next);
+    quotas.update(next);
+    onConfiguration(next);
+    duty.setServers(directory.current());
+  };
+
+  const takeServers = (view: ObjectView<unknown>): void => {
+    const entries = [...view].flatMap(([name, { value }]): [string, ServerEntry][] => {
+      const entry = options.decodeServer(name, value);
+      return entry ? [[name, entry]] : [];
+    });
+    directory.update(new Map(entries));
+  };
+
+  const sourceOptions = { store, clock, logger };
+  const configurations = createSource({
+    ...sourceOptions,
+    kind: kinds.configuration,
+    onView: takeConfiguration,
+  });
+  const serverEntries = createSource({
+    ...sourceOptions,
+    kind: kinds.servers,
+    onView: takeServers,
+    onRegained: directory.noteOutage,
+  });
+  const hostRecords = createSource({
+    ...sourceOptions,
+    kind: HOST_KIND,
+    onView: (view) => {
+      const peers = peersOf(view, host.name);
+      hosts = peers.length + 1;
+      network()?.connectTo(peers);
+    },
+  });
+  const sources = [configurations, serverEntries, hostRecords];
+
+  const gossip = createGossip({ quotas, servers, demand, sources, duty: () => duty });
+
+  const takeOutlook = (outlook: readonly Outlook[]): void => waits.noteOutlook(outlook);
+
+  const duty: OrderDuty = createOrderDuty({
+    store,
+    clock,
+    logger,
+    self,
+    control: options.control,
+    demand,
+    configuration: () => configuration,
+    inUse: gossip.inUse,
+    handoverMilliseconds: bounds.handoverMilliseconds,
+    rank: () => links().filter(({ peer }) => peer.host < host.name).length,
+    onOutlook: (outlook) => {
+      takeOutlook(outlook);
+      broadcast(MESSAGE.OUTLOOK, outlook);
+    },
+  });
+
+  let toldWants = false;
+  const tellWants = (): void => {
+    const wants: WantsMessage = waits.wants();
+    if (wants.length === 0 && !toldWants) return;
+    toldWants = wants.length > 0;
+    const leader = duty.leader();
+    if (leader === host.name) duty.commander.setWants(host.name, wants);
+    else if (leader !== undefined) network()?.link(leader)?.send(MESSAGE.WANTS, wants);
+  };
+
+  const ensureAdapter = async (server: string, model: string, adapter: string) => {
+    const leader = duty.leader();
+    if (leader === host.name) return duty.commander.ensureAdapter(server, model, adapter);
+    const link = leader === undefined ? undefined : network()?.link(leader);
+    if (!link) return false;
+    const body: AdapterMessage = { server, model, adapter };
+    return link.request<boolean>(MESSAGE.ADAPTER, body, ADAPTER_MILLISECONDS).catch((error) => {
+      logger.warn('adapter not ordered', { server, model, adapter, error: messageOf(error) });
+      return false;
+    });
+  };
+
+  const handlers: PeerHandlers = {
+    [MESSAGE.STATE]: (body, from) => {
+      const link = network()?.link(from.host);
+      if (link) gossip.hear(link, body as HostState);
+    },
+    [MESSAGE.WANTS]: (body, from) => duty.commander.setWants(from.host, body as WantsMessage),
+    [MESSAGE.OUTLOOK]: (body) => takeOutlook(body as OutlookMessage),
+    [MESSAGE.ADAPTER]: (body) => {
+      const { server, model, adapter } = body as AdapterMessage;
+      return duty.commander.ensureAdapter(server, model, adapter);
+    },
+    [MESSAGE.PULL]: (body) => {
+      const { kind } = body as PullMessage;
+      return sources.find((source) => source.kind === kind)?.snapshot();
+    },
+    [MESSAGE.SUSPECT]: (body) => suspects.hear(body as SuspectMessage),
+  };
+
+  const joinLinks = async (): Promise<void> => {
+    const group = { store, clock, logger };
+    const secret = await readSecret(group);
+    peerNetwork = createPeerNetwork({
+      self,
+      secrets: [secret],
+      clock,
+      handlers,
+      silenceMilliseconds: LINK_SILENCE_MILLISECONDS,
+      onLink: (link) => {
+        logger.info('link opened', { peer: link.peer.host });
+        suspects.news().forEach((news) => link.send(MESSAGE.SUSPECT, news));
+        link.send(MESSAGE.STATE, gossip.state());
+      },
+      onLost: (peer) => {
+        logger.warn('link lost', { peer: peer.host });
+        gossip.forget(peer.host);
+        duty.commander.forgetHost(peer.host);
+      },
+    });
+    await peerNetwork.listen(host.address, host.port);
+    await joinGroup(group, self, host.address, host.port);
+    await hostRecords.run(stopping.signal);
+  };
+
+  const serve = createServe<SomeCall>({
+    clock,
+    logger,
+    metrics: createServingMetrics(options.metrics),
+    random,
+    failureDomain: host.failureDomain,
+    admission,
+    servers,
+    waits,
+    demand: { ...demand, note: gossip.noteAsked },
+    budget,
+    suspects,
+    send: options.send,
+    ensureAdapter,
+    closed: () => (refusing ? stoppingRefusal() : undefined),
+  });
+
+  const running = [
+    configurations.run(stopping.signal),
+    serverEntries.run(stopping.signal),
+    joinLinks(),
+  ];
+  const ordering = duty.run(AbortSignal.any([stopping.signal, releasing.signal]));
+  [...running, ordering].forEach((work) =>
+    work.catch((error: unknown) =>
+      logger.error('a task of the host ended', { error: messageOf(error) }),
+    ),
+  );
+  const stopTelling = every(clock, STATE_MILLISECONDS, () => {
+    if (links().length > 0) broadcast(MESSAGE.STATE, gossip.state());
+  });
+  const stopWants = every(clock, WANTS_MILLISECONDS, tellWants);
+
+  return {
+    serve,
+    ready: () => configuration !== undefined && !refusing,
+    refuseNewWork: () => {
+      refusing = true;
+    },
+    release: () => {
+      releasing.abort();
+      return ordering;
+    },
+    stop: async () => {
+      stopTelling();
+      stopWants();
+      stopping.abort();
+      await Promise.allSettled([...running, ordering]);
+      await network()?.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/gossip.ts
@@ -0,0 +1,95 @@
+import type { Demand } from '@bulrushspar/loading';
+import type { Link } from '@bulrushspar/peer';
+import type { ServerStates } from '@bulrushspar/serving';
+import type { HostState } from './messages.js';
+import type { OrderDuty } from './orders.js';
+import type { Quotas } from './quotas.js';
+import type { Source } from './source.js';
+
+/** Exchange of what the hosts of a fleet must know of each other. */
+export interface Gossip {
+  /** What this host tells all others now. */
+  state(): HostState;
+  hear(link: Link, state: HostState): void;
+  /** Counts a request of this host for a model. */
+  noteAsked(model: string, credit: number): void;
+  forget(host: string): void;
+  /** Tells whether requests of any host run with a model on a server. */
+  inUse(server: string, model: string): boolean;
+}
+
+/** Options of {@link createGossip}. */
+export interface GossipOptions {
+  readonly quotas: Quotas;
+  readonly servers: ServerStates;
+  /** Demand over all hosts. */
+  readonly demand: Demand;
+  readonly sources: readonly Source[];
+  readonly duty: () => OrderDuty;
+}
+
+type Running = HostState['running'];
+
+/** Creates the exchange of one host. */
+export function createGossip(options: GossipOptions): Gossip {
+  const { quotas, servers, demand, sources, duty } = options;
+  const running = new Map<string, Running>();
+  let asked: Record<string, number> = {};
+
+  const ownRunning = (): Running => {
+    const byServer: Record<string, Record<string, number>> = {};
+    for (const { entry, outstanding, outstandingByModel } of servers.all()) {
+      if (outstanding > 0) {
+        const models = [...outstandingByModel].filter(([, count]) => count > 0);
+        byServer[entry.id] = models.length > 0 ? Object.fromEntries(models) : { '': outstanding };
+      }
+    }
+    return byServer;
+  };
+
+  const recount = (): void => {
+    for (const state of servers.all()) {
+      let elsewhere = 0;
+      running.forEach((byServer) => {
+        const models = byServer[state.entry.id];
+        if (models) elsewhere += Object.values(models).reduce((sum, count) => sum + count, 0);
+      });
+      state.outstandingElsewhere = elsewhere;
+    }
+  };
+
+  return {
+    state: () => {
+      const state: HostState = {
+        taken: quotas.taken(),
+        running: ownRunning(),
+        asked,
+        leads: duty().leads(),
+        seen: Object.fromEntries(sources.map((source) => [source.kind, source.changedAt()])),
+      };
+      asked = {};
+      return state;
+    },
+    hear: (link, state) => {
+      const { peer } = link;
+      quotas.hear(peer, state.taken);
+      running.set(peer.host, state.running);
+      recount();
+      Object.entries(state.asked).forEach(([model, credit]) => demand.note(model, credit));
+      duty().hear(peer.host, state.leads);
+      sources.forEach((source) => source.hear(link, state.seen[source.kind] ?? 0));
+    },
+    noteAsked: (model, credit) => {
+      asked[model] = (asked[model] ?? 0) + credit;
+      demand.note(model, credit);
+    },
+    forget: (host) => {
+      running.delete(host);
+      recount();
+    },
+    inUse: (server, model) => {
+      if ((servers.get(server)?.outstandingByModel.get(model) ?? 0) > 0) return true;
+      return [...running.values()].some((byServer) => (byServer[server]?.[model] ?? 0) > 0);
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/messages.ts
@@ -0,0 +1,60 @@
+import type { Outlook, Want } from '@bulrushspar/loading';
+import type { SuspectNews } from '@bulrushspar/routing';
+import type { StoredObject } from '@bulrushspar/store';
+
+/** Messages between the hosts of a fleet. */
+export const MESSAGE = {
+  /** What a host has taken, runs and wants; sent to all. */
+  STATE: 'state',
+  /** What a host's requests wait for; sent to the giver of orders. */
+  WANTS: 'wants',
+  /** When wanted models will be ready; sent by the giver of orders. */
+  OUTLOOK: 'outlook',
+  /** Asks the giver of orders for an adapter. */
+  ADAPTER: 'adapter',
+  /** Asks for all objects of a kind. */
+  PULL: 'pull',
+  /** A request that a server crashed under. */
+  SUSPECT: 'suspect',
+} as const;
+
+/** Body of {@link MESSAGE.STATE}. */
+export interface HostState {
+  /** Quota taken since the start of the host, by workspace. */
+  readonly taken: Readonly<Record<string, number>>;
+  /** Requests that run now, by server and model. */
+  readonly running: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /** Credit asked for since the last state, by model. */
+  readonly asked: Readonly<Record<string, number>>;
+  /** Fencing number of the host's lease to give orders, if it holds it. */
+  readonly leads?: number;
+  /** Version at which each followed kind last changed. */
+  readonly seen: Readonly<Record<string, number>>;
+}
+
+/** Body of {@link MESSAGE.WANTS}. */
+export type WantsMessage = readonly Want[];
+
+/** Body of {@link MESSAGE.OUTLOOK}. */
+export type OutlookMessage = readonly Outlook[];
+
+/** Body of {@link MESSAGE.ADAPTER}. */
+export interface AdapterMessage {
+  readonly server: string;
+  readonly model: string;
+  readonly adapter: string;
+}
+
+/** Body of {@link MESSAGE.PULL}. */
+export interface PullMessage {
+  readonly kind: string;
+}
+
+/** Answer to {@link MESSAGE.PULL}. */
+export interface PullAnswer {
+  readonly changedAt: number;
+  readonly objects: readonly StoredObject[];
+}
+
+/** Body of {@link MESSAGE.SUSPECT}. */
+export type SuspectMessage = SuspectNews;
--- a/packages/gateway/src/isolation.ts
+++ b/packages/gateway/src/isolation.ts
@@ -3,7 +3,7 @@
 import type { Stopwatch } from '@bulrushspar/clock';
 import { createRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
 import type { Turns } from '@bulrushspar/placement';
-import { isStoreError } from '@bulrushspar/platform';
+import { isStoreError } from '@bulrushspar/store';
 import type { Suspects } from '@bulrushspar/routing';
 import {
   EXCHANGE_FAULT,
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -9,7 +9,7 @@
   type ObjectStore,
   type StoredObject,
   type Version,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 
 /** What the store holds of a lease. */
 export interface LeaseRecord {
@@ -17,6 +17,8 @@
   readonly holder?: Incarnation;
   /** Higher for each new holder. */
   readonly fencing: number;
+  /** Host that had the duty before, where another one has it now. */
+  readonly former?: string;
   /** Unique for each write. */
   readonly token: string;
 }
@@ -28,6 +30,8 @@
    * @returns the fencing number of the act, or undefined
    */
   held(): number | undefined;
+  /** Host that had the duty before this one; undefined where there was none. */
+  former(): string | undefined;
   /** Contends and renews until the signal, then gives the lease back. */
   run(signal: AbortSignal): Promise<void>;
 }
@@ -69,9 +73,12 @@
   const { termMilliseconds = 8000 } = options;
   const key = { kind: LEASE_KIND, name };
   const turnMilliseconds = termMilliseconds / RENEWALS_PER_TERM;
-  let renewed: { readonly since: Stopwatch; readonly fencing: number } | undefined;
+  let renewed:
+    | { readonly since: Stopwatch; readonly fencing: number; readonly version: Version }
+    | undefined;
   let sighting: Sighting | undefined;
   let told = false;
+  let formerHost: string | undefined;
 
   const held = (): number | undefined =>
     renewed && renewed.since() < termMilliseconds ? renewed.fencing : undefined;
@@ -96,8 +103,9 @@
       isOurs: ({ token }) => token === value.token,
       withinMilliseconds: turnMilliseconds,
     });
-    const ours = settled.outcome === SETTLED.WRITTEN && isSelf(record.holder);
-    if (ours) renewed = { since, fencing: record.fencing };
+    if (settled.outcome === SETTLED.WRITTEN && isSelf(record.holder)) {
+      renewed = { since, fencing: record.fencing, version: settled.version };
+    }
     // Somebody else has written: whatever this process had is over.
     if (settled.outcome === SETTLED.CONFLICT) renewed = undefined;
   };
@@ -109,6 +117,10 @@
   };
 
   const takeTurn = async (): Promise<void> => {
+    if (renewed && held() !== undefined) {
+      await write(renewed.version, { holder: self, fencing: renewed.fencing });
+      return;
+    }
     const found: StoredObject<LeaseRecord> | undefined = await store.read<LeaseRecord>(key);
     const { version = ABSENT, value = FREE } = found ?? {};
     const { holder, fencing } = value;
@@ -118,18 +130,21 @@
     }
     renewed = undefined;
     const open = holder === undefined || holder.host === self.host || isQuiet(version);
-    if (open) await write(version, { holder: self, fencing: fencing + 1 });
+    if (!open) return;
+    formerHost = holder?.host ?? value.former;
+    await write(version, { holder: self, fencing: fencing + 1, former: formerHost });
   };
 
   const giveBack = async (): Promise<void> => {
     renewed = undefined;
     const found = await store.read<LeaseRecord>(key);
     if (!found || !isSelf(found.value.holder)) return;
-    await write(found.version, { fencing: found.value.fencing });
+    await write(found.version, { fencing: found.value.fencing, former: self.host });
   };
 
   return {
     held,
+    former: () => formerHost,
     run: async (signal) => {
       while (!signal.aborted) {
         // eslint-disable-next-line no-await-in-loop -- turns follow one another
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -12,7 +12,7 @@
   type ObjectStore,
   type StoredObject,
   type Version,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 import {
   CALL,
   CALL_KIND,
--- a/packages/ledger/src/record.ts
+++ b/packages/ledger/src/record.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 
 /** States of a call that may not be repeated. */
 export const CALL = {
--- a/packages/ledger/src/sweep.ts
+++ b/packages/ledger/src/sweep.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bulrushspar/clock';
-import type { ObjectStore } from '@bulrushspar/platform';
+import type { ObjectStore } from '@bulrushspar/store';
 import { CALL_KIND, type CallRecord } from './record.js';
 
 /** Options of {@link sweepCalls}. */
--- a/packages/limits/src/slot.ts
+++ b/packages/limits/src/slot.ts
@@ -1,4 +1,4 @@
-import { ABSENT, type Incarnation, type StoredObject, type Version } from '@bulrushspar/platform';
+import { ABSENT, type Incarnation, type StoredObject, type Version } from '@bulrushspar/store';
 
 /** Tokens by workspace. */
 export type Credit = Readonly<Record<string, number>>;
--- a/packages/limits/src/slots.ts
+++ b/packages/limits/src/slots.ts
@@ -10,7 +10,7 @@
   type ListedHost,
   type ObjectStore,
   type Version,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 import {
   SLOT_COUNT,
   SLOT_KIND,
--- a/packages/limits/test/hosts.ts
+++ b/packages/limits/test/hosts.ts
@@ -9,7 +9,7 @@
   type Limits,
   type SlotKeeper,
 } from '@bulrushspar/limits';
-import type { ListedHost, ObjectStore } from '@bulrushspar/platform';
+import type { ListedHost, ObjectStore } from '@bulrushspar/store';
 import { createMemoryStore, type MemoryStore } from '@bulrushspar/standins';
 
 /** Rate, burst and name of the workspace. */
--- /dev/null
+++ b/packages/loading/src/book.ts
@@ -0,0 +1,168 @@
+import type { EngineProfile, ServerEntry } from '@bulrushspar/catalogue';
+import type { Clock } from '@bulrushspar/clock';
+import { OPERATION, type Order, type ServerReport } from './engine.js';
+import type { PlannedServer } from './plan.js';
+
+/** What the holder of the orders believes of one server. */
+export interface ServerBook {
+  entry: ServerEntry;
+  /** Orders that the server has accepted; unknown until it was asked. */
+  sequence: number | undefined;
+  /** Adapters by model. */
+  models: Map<string, Set<string>>;
+  /** Order that the server is carrying out. */
+  underWay?: UnderWay;
+  /** Loads without an answer; they may still happen while the sequence has not moved on. */
+  doubtful: { model: string; adapter?: string }[];
+  /** When each model was loaded here, by the monotonic clock. */
+  readonly loadedAt: Map<string, number>;
+  /** No order goes out before this moment, by the monotonic clock. */
+  notBefore: number;
+}
+
+/** An order that was accepted and is not done yet. */
+export interface UnderWay {
+  readonly order: Order;
+  readonly begunAt: number;
+  readonly expectedMilliseconds: number;
+}
+
+/** Options of {@link viewForPlan}. */
+export interface ViewOptions {
+  readonly clock: Clock;
+  readonly profile: EngineProfile;
+  /** Tells whether requests run with a model on a server. */
+  readonly inUse: (server: string, model: string) => boolean;
+}
+
+/** Time that a loaded model is kept for the requests that waited for it. */
+const FRESH_MILLISECONDS = 700;
+
+const adaptersOf = (entry: Pick<ServerEntry, 'models'>): Map<string, Set<string>> =>
+  new Map(entry.models.map(({ name, adapters }) => [name, new Set(adapters)]));
+
+/** Opens the book of a server that was just seen. */
+export function openBook(entry: ServerEntry): ServerBook {
+  return {
+    entry,
+    sequence: undefined,
+    models: adaptersOf(entry),
+    doubtful: [],
+    loadedAt: new Map(),
+    notBefore: 0,
+  };
+}
+
+/** Forgets what was known from orders of an earlier lease; the server is asked anew. */
+export function reopenBook(book: ServerBook): void {
+  const opened = book;
+  Object.assign(opened, { ...openBook(book.entry), loadedAt: book.loadedAt });
+  delete opened.underWay;
+}
+
+/** Tells whether what a server says already shows that the order under way is done. */
+function showsDone({ order }: UnderWay, models: ReadonlyMap<string, Set<string>>): boolean {
+  return models.has(order.model) === (order.operation === OPERATION.LOAD);
+}
+
+/** Notes that the order under way is done. */
+export function finishOrder(book: ServerBook, clock: Clock): void {
+  const { underWay } = book;
+  if (!underWay) return;
+  const { operation, model } = underWay.order;
+  if (operation === OPERATION.LOAD) {
+    if (!book.models.has(model)) book.models.set(model, new Set());
+    book.loadedAt.set(model, clock.monotonic());
+  } else {
+    book.models.delete(model);
+    book.loadedAt.delete(model);
+  }
+  delete book.underWay;
+}
+
+/**
+ * Takes what a server wrote about itself. An entry older than the orders that the server has
+ * accepted since says nothing about what it holds now.
+ * @returns whether the order under way is done
+ */
+export function takeEntry(book: ServerBook, entry: ServerEntry, clock: Clock): boolean {
+  const restarted = entry.born !== book.entry.born;
+  book.entry = entry;
+  if (restarted) {
+    reopenBook(book);
+    return true;
+  }
+  if (book.sequence === undefined) {
+    book.models = adaptersOf(entry);
+    return false;
+  }
+  if (entry.sequence < book.sequence) return false;
+  if (entry.sequence > book.sequence) book.doubtful = [];
+  const models = adaptersOf(entry);
+  const { underWay } = book;
+  if (underWay && !showsDone(underWay, models)) return false;
+  if (underWay) finishOrder(book, clock);
+  book.sequence = entry.sequence;
+  book.models = models;
+  return underWay !== undefined;
+}
+
+/** Takes a report that was asked for after the last order had been answered. */
+export function takeReport(book: ServerBook, report: ServerReport, clock: Clock): void {
+  if (report.born !== book.entry.born) return;
+  if (book.sequence !== undefined && report.sequence < book.sequence) return;
+  if (report.sequence !== book.sequence) book.doubtful = [];
+  book.sequence = report.sequence;
+  const models = adaptersOf(report);
+  const { underWay } = book;
+  if (underWay && (report.busy || !showsDone(underWay, models))) return;
+  if (underWay) finishOrder(book, clock);
+  book.models = models;
+}
+
+/** Memory that a server's models and adapters take, with those that may come still. */
+export function usedMegabytes(book: ServerBook, profile: EngineProfile): number {
+  let sum = doubtfulMegabytes(book, profile);
+  book.models.forEach((adapters, name) => {
+    const model = profile.models.get(name);
+    sum += model ? model.megabytes + adapters.size * model.adapterMegabytes : 0;
+  });
+  return sum;
+}
+
+/** Memory that the order under way and those without an answer may take. */
+export function doubtfulMegabytes(book: ServerBook, profile: EngineProfile): number {
+  const loading =
+    book.underWay?.order.operation === OPERATION.LOAD ? [book.underWay.order] : [];
+  const absent = [...book.doubtful, ...loading].filter(
+    ({ model, adapter }) => adapter !== undefined || !book.models.has(model),
+  );
+  return absent.reduce((sum, { model, adapter }) => {
+    const known = profile.models.get(model);
+    if (!known) return sum;
+    return sum + (adapter === undefined ? known.megabytes : known.adapterMegabytes);
+  }, 0);
+}
+
+/** Shows a server to the planner. */
+export function viewForPlan(book: ServerBook, options: ViewOptions): PlannedServer {
+  const { clock, profile, inUse } = options;
+  const now = clock.monotonic();
+  const { underWay, entry } = book;
+  const remaining = underWay
+    ? Math.max(1, underWay.begunAt + underWay.expectedMilliseconds - now)
+    : 0;
+  return {
+    id: entry.id,
+    models: [...book.models].map(([name, adapters]) => ({
+      name,
+      adapters: adapters.size,
+      inUse: inUse(entry.id, name),
+      fresh: now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
+    })),
+    doubtfulMegabytes: doubtfulMegabytes(book, profile),
+    busyMilliseconds: Math.max(remaining, book.notBefore - now, 0),
+    inMemory: new Set(entry.inMemory),
+    onDisk: new Set(entry.onDisk),
+  };
+}
--- /dev/null
+++ b/packages/loading/src/index.ts
@@ -0,0 +1,25 @@
+/** Which server loads which model. */
+export {
+  createCommander,
+  type Commander,
+  type CommanderOptions,
+  type Outlook,
+} from './commander.js';
+export { createDemand, type Demand, type DemandOptions } from './demand.js';
+export {
+  OPERATION,
+  ORDER_OUTCOME,
+  type EngineControl,
+  type Operation,
+  type Order,
+  type OrderOutcome,
+  type ServerReport,
+} from './engine.js';
+export {
+  planLoads,
+  type PlanInput,
+  type PlannedLoad,
+  type PlannedModel,
+  type PlannedServer,
+  type Want,
+} from './plan.js';
--- /dev/null
+++ b/packages/loading/src/issue.ts
@@ -0,0 +1,143 @@
+import type { EngineProfile } from '@bulrushspar/catalogue';
+import type { Clock } from '@bulrushspar/clock';
+import { messageOf } from '@bulrushspar/errors';
+import type { Logger } from '@bulrushspar/logging';
+import { takeReport, usedMegabytes, type ServerBook } from './book.js';
+import {
+  OPERATION,
+  ORDER_OUTCOME,
+  type EngineControl,
+  type Operation,
+  type OrderOutcome,
+} from './engine.js';
+
+/** What an order asks for, before it is numbered. */
+export interface OrderRequest {
+  readonly operation: Operation;
+  readonly model: string;
+  readonly adapter?: string;
+}
+
+/** Options of {@link createIssuer}. */
+export interface IssuerOptions {
+  readonly clock: Clock;
+  readonly control: EngineControl;
+  readonly logger: Logger;
+  /** Names this host to the servers. */
+  readonly holder: string;
+  /** Fencing number if this host gives the orders at this very moment. */
+  readonly fencing: () => number | undefined;
+}
+
+/** Sends orders to one server one after another. */
+export type Issue = (book: ServerBook, request: OrderRequest) => Promise<OrderOutcome>;
+
+/** Pause after a conflict; reports lag by some hundred milliseconds. */
+const CONFLICT_MILLISECONDS = 300;
+/** Pause after an order without an answer. */
+const UNKNOWN_MILLISECONDS = 250;
+/** Pause after a server has rejected an order. */
+const REJECTED_MILLISECONDS = 1000;
+
+/** Tells whether a server has room for what an order loads. */
+export function hasRoom(book: ServerBook, profile: EngineProfile, request: OrderRequest): boolean {
+  const model = profile.models.get(request.model);
+  if (!model) return false;
+  const used = usedMegabytes(book, profile);
+  if (request.adapter === undefined) return used + model.megabytes <= profile.weightsMegabytes;
+  const adapters = [...book.models.values()].reduce((sum, held) => sum + held.size, 0);
+  const doubtful = book.doubtful.filter(({ adapter }) => adapter !== undefined).length;
+  return (
+    adapters + doubtful < profile.adapterSlots &&
+    used + model.adapterMegabytes <= profile.weightsMegabytes
+  );
+}
+
+/** Creates the sender of orders of one host. */
+export function createIssuer(options: IssuerOptions): Issue {
+  const { clock, control, logger, holder, fencing } = options;
+  const queues = new Map<string, Promise<unknown>>();
+
+  const readReport = async (book: ServerBook): Promise<void> => {
+    try {
+      takeReport(book, await control.report(book.entry), clock);
+    } catch (error) {
+      logger.warn('server gave no report', { server: book.entry.id, error: messageOf(error) });
+    }
+  };
+
+  const pauseOrders = (book: ServerBook, milliseconds: number): void => {
+    Object.assign(book, { notBefore: clock.monotonic() + milliseconds });
+  };
+
+  const note = (book: ServerBook, request: OrderRequest, outcome: OrderOutcome): void => {
+    const { operation, model, adapter } = request;
+    const opened = book;
+    const loads = operation === OPERATION.LOAD;
+    if (outcome === ORDER_OUTCOME.UNKNOWN) {
+      if (loads) opened.doubtful.push({ model, ...(adapter === undefined ? {} : { adapter }) });
+      pauseOrders(opened, UNKNOWN_MILLISECONDS);
+      return;
+    }
+    if (outcome === ORDER_OUTCOME.REJECTED) {
+      opened.sequence = undefined;
+      pauseOrders(opened, REJECTED_MILLISECONDS);
+      return;
+    }
+    // A server answers 200 both to an order that already holds and to the unload of an idle adapter.
+    const counted = outcome === ORDER_OUTCOME.ACCEPTED || (!loads && adapter !== undefined);
+    if (counted && opened.sequence !== undefined) {
+      opened.sequence += 1;
+      // Orders without an answer expected the sequence that this one has used.
+      opened.doubtful = [];
+    }
+    if (adapter === undefined) return;
+    const held = opened.models.get(model);
+    if (loads) held?.add(adapter);
+    else held?.delete(adapter);
+  };
+
+  const send = async (book: ServerBook, request: OrderRequest): Promise<OrderOutcome> => {
+    if (book.sequence === undefined) await readReport(book);
+    const token = fencing();
+    if (token === undefined || book.sequence === undefined) return ORDER_OUTCOME.REJECTED;
+    const begun = clock.monotonic();
+    const expectedSequence = book.sequence;
+    const outcome = await control.order(book.entry, {
+      ...request,
+      expectedSequence,
+      holder,
+      fencing: token,
+    });
+    if (outcome !== ORDER_OUTCOME.CONFLICT) note(book, request, outcome);
+    logger.info('order', {
+      server: book.entry.id,
+      operation: request.operation,
+      model: request.model,
+      adapter: request.adapter,
+      expectedSequence,
+      fencing: token,
+      outcome,
+      milliseconds: Math.round(clock.monotonic() - begun),
+    });
+    return outcome;
+  };
+
+  const sendAfterConflict = async (book: ServerBook, request: OrderRequest) => {
+    const outcome = await send(book, request);
+    if (outcome !== ORDER_OUTCOME.CONFLICT || book.underWay) return outcome;
+    await clock.delay(CONFLICT_MILLISECONDS);
+    await readReport(book);
+    return outcome;
+  };
+
+  return (book, request) => {
+    const before = queues.get(book.entry.id) ?? Promise.resolve();
+    const work = before.then(() => sendAfterConflict(book, request));
+    queues.set(
+      book.entry.id,
+      work.catch(() => {}),
+    );
+    return work;
+  };
+}
--- /dev/null
+++ b/packages/loading/src/plan.ts
@@ -0,0 +1,203 @@
+import type { EngineProfile, ModelProfile } from '@bulrushspar/catalogue';
+
+/** A model that requests wait for. */
+export interface Want {
+  readonly model: string;
+  /** Requests that wait for it. */
+  readonly count: number;
+  /** Credit of the waiting requests if they are served in time. */
+  readonly credit: number;
+  /** Milliseconds until the first of them can no longer be served in time; may be negative. */
+  readonly objectiveMilliseconds: number;
+}
+
+/** A model on a server, as the planner sees it. */
+export interface PlannedModel {
+  readonly name: string;
+  readonly adapters: number;
+  /** Requests run with it now, so that it cannot go at once. */
+  readonly inUse: boolean;
+  /** It was loaded for requests that have not been served yet. */
+  readonly fresh: boolean;
+}
+
+/** A server, as the planner sees it. */
+export interface PlannedServer {
+  readonly id: string;
+  readonly models: readonly PlannedModel[];
+  /** Memory that orders with an unknown outcome may have taken, in megabytes. */
+  readonly doubtfulMegabytes: number;
+  /** Milliseconds until the order under way is done; 0 where there is none. */
+  readonly busyMilliseconds: number;
+  readonly inMemory: ReadonlySet<string>;
+  readonly onDisk: ReadonlySet<string>;
+}
+
+/** What is known when a plan is made. */
+export interface PlanInput {
+  readonly profile: EngineProfile;
+  readonly servers: readonly PlannedServer[];
+  readonly wants: readonly Want[];
+  /** Credit lost each second while a model is on no server. */
+  readonly creditPerSecond: (model: string) => number;
+  readonly idleMilliseconds: (model: string) => number;
+  /** Loads out of the weight store that may begin now. */
+  readonly coldLoads: number;
+}
+
+/** Where a model will be loaded, and when it will be ready. */
+export interface PlannedLoad {
+  readonly model: string;
+  readonly server: string;
+  /** Models that make way, in this order. */
+  readonly victims: readonly string[];
+  readonly readyMilliseconds: number;
+  readonly cold: boolean;
+  /** The server has no order under way and no earlier load in this plan. */
+  readonly startsNow: boolean;
+}
+
+/** Time that a model without requests takes to make way: an order's way there and back. */
+const UNLOAD_MILLISECONDS = 20;
+/** Time that running requests take to end on average, before their model can make way. */
+const IN_USE_MILLISECONDS = 1000;
+/** Weight of a victim's credit rate against the wait for the load, in milliseconds per credit/s. */
+const EVICTION_MILLISECONDS = 60;
+/** A model that was asked for this recently is kept before others with the same credit. */
+const RECENT_MILLISECONDS = 30_000;
+
+interface Candidate {
+  readonly server: PlannedServer;
+  readonly victims: readonly PlannedModel[];
+  readonly readyMilliseconds: number;
+  readonly cost: number;
+  readonly cold: boolean;
+}
+
+interface Occupancy {
+  /** Milliseconds until the server takes another order. */
+  busyMilliseconds: number;
+  models: readonly PlannedModel[];
+  planned: boolean;
+}
+
+function megabytesOf(profile: EngineProfile, { name, adapters }: PlannedModel): number {
+  const model = profile.models.get(name);
+  if (!model) return profile.weightsMegabytes;
+  return model.megabytes + adapters * model.adapterMegabytes;
+}
+
+function loadMilliseconds(server: PlannedServer, model: ModelProfile) {
+  if (server.inMemory.has(model.name)) return { time: model.memoryMilliseconds, cold: false };
+  if (server.onDisk.has(model.name)) return { time: model.diskMilliseconds, cold: false };
+  return { time: model.coldMilliseconds, cold: true };
+}
+
+/** Requests that can still be served in time go first; among them the most pressing. */
+function compareWants(a: Want, b: Want): number {
+  const late = Number(a.objectiveMilliseconds < 0) - Number(b.objectiveMilliseconds < 0);
+  if (late !== 0) return late;
+  return a.objectiveMilliseconds / a.count - b.objectiveMilliseconds / b.count;
+}
+
+/**
+ * Plans where the wanted models are loaded and what makes way for them. Each want takes the server
+ * that has it ready soonest, counting what the evicted models are worth.
+ */
+export function planLoads(input: PlanInput): readonly PlannedLoad[] {
+  const { profile, servers, wants, creditPerSecond, idleMilliseconds } = input;
+  const occupancy = new Map<string, Occupancy>(
+    servers.map((server) => [
+      server.id,
+      { busyMilliseconds: server.busyMilliseconds, models: server.models, planned: false },
+    ]),
+  );
+  const copies = new Map<string, number>();
+  servers.forEach(({ models }) =>
+    models.forEach(({ name }) => copies.set(name, (copies.get(name) ?? 0) + 1)),
+  );
+  const wanted = new Set(wants.map(({ model }) => model));
+  let { coldLoads } = input;
+
+  /** Credit lost each second if this copy goes. */
+  const worthOf = ({ name }: PlannedModel): number => {
+    const recency = Math.max(0, 1 - idleMilliseconds(name) / RECENT_MILLISECONDS);
+    const rate = creditPerSecond(name) / (copies.get(name) ?? 1);
+    return (wanted.has(name) ? rate * 2 + 1 : rate) + recency;
+  };
+
+  const chooseVictims = (
+    server: PlannedServer,
+    model: ModelProfile,
+  ): readonly PlannedModel[] | undefined => {
+    const { models } = occupancy.get(server.id)!;
+    const used = models.reduce((sum, resident) => sum + megabytesOf(profile, resident), 0);
+    let missing =
+      used + server.doubtfulMegabytes + model.megabytes - profile.weightsMegabytes;
+    const order = models
+      .filter(({ fresh }) => !fresh)
+      .sort((a, b) => worthOf(a) - worthOf(b));
+    const victims: PlannedModel[] = [];
+    for (const resident of order) {
+      if (missing <= 0) break;
+      victims.push(resident);
+      missing -= megabytesOf(profile, resident);
+    }
+    if (missing > 0) return undefined;
+    // One that alone makes enough room spares the smaller ones chosen before it.
+    const last = victims.at(-1);
+    const spare = last ? -missing : 0;
+    const kept = victims.slice(0, -1).filter((victim) => megabytesOf(profile, victim) <= spare);
+    return kept.length === 1 ? victims.filter((victim) => victim !== kept[0]) : victims;
+  };
+
+  const weigh = (server: PlannedServer, model: ModelProfile): Candidate | undefined => {
+    const { busyMilliseconds } = occupancy.get(server.id)!;
+    const { time, cold } = loadMilliseconds(server, model);
+    if (cold && coldLoads < 1) return undefined;
+    const victims = chooseVictims(server, model);
+    if (!victims) return undefined;
+    const unloading = victims.reduce(
+      (sum, { inUse }) => sum + UNLOAD_MILLISECONDS + (inUse ? IN_USE_MILLISECONDS : 0),
+      0,
+    );
+    const readyMilliseconds = busyMilliseconds + unloading + time;
+    const lost = victims.reduce((sum, victim) => sum + worthOf(victim), 0);
+    return {
+      server,
+      victims,
+      readyMilliseconds,
+      cold,
+      cost: readyMilliseconds + lost * EVICTION_MILLISECONDS,
+    };
+  };
+
+  const place = (want: Want): PlannedLoad[] => {
+    const model = profile.models.get(want.model);
+    if (!model) return [];
+    const candidates = servers.flatMap((server) => weigh(server, model) ?? []);
+    if (candidates.length === 0) return [];
+    const best = candidates.reduce((a, b) => (b.cost < a.cost ? b : a));
+    const state = occupancy.get(best.server.id)!;
+    const startsNow = !state.planned && state.busyMilliseconds === 0;
+    state.planned = true;
+    state.busyMilliseconds = best.readyMilliseconds;
+    state.models = [
+      ...state.models.filter((resident) => !best.victims.includes(resident)),
+      { name: model.name, adapters: 0, inUse: true, fresh: true },
+    ];
+    if (best.cold) coldLoads -= 1;
+    return [
+      {
+        model: model.name,
+        server: best.server.id,
+        victims: best.victims.map(({ name }) => name),
+        readyMilliseconds: best.readyMilliseconds,
+        cold: best.cold,
+        startsNow,
+      },
+    ];
+  };
+
+  return [...wants].sort(compareWants).flatMap(place);
+}
--- a/packages/logging/src/logger.ts
+++ b/packages/logging/src/logger.ts
@@ -3,7 +3,7 @@
 /** Extra fields of a log line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
-/** Writes log lines; meant for changes of state, not for each request. */
+/** Writes structured log lines. */
 export interface Logger {
   info(message: string, fields?: LogFields): void;
   warn(message: string, fields?: LogFields): void;
@@ -22,6 +22,37 @@
   readonly format?: LogFormat;
   /** Fields on each line, such as the host's name. */
   readonly fields?: LogFields;
+  /** Where lines go; standard error unless stated. */
+  readonly stream?: NodeJS.WritableStream;
+  /** Lines written each second at most; what is left out is counted in a line of its own. */
+  readonly mostPerSecond?: number;
+  /** Milliseconds by a clock that never goes back. */
+  readonly now?: () => number;
+}
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Lets a bounded number of lines through each second and counts the others. */
+function createLimiter(mostPerSecond: number, now: () => number) {
+  let began = now();
+  let written = 0;
+  let leftOut = 0;
+  return {
+    /** @returns lines left out in the second before, or undefined where a line must be left out */
+    take: (): number | undefined => {
+      if (now() - began >= MILLISECONDS_PER_SECOND) {
+        const before = leftOut;
+        began = now();
+        written = 1;
+        leftOut = 0;
+        return before;
+      }
+      written += 1;
+      if (written <= mostPerSecond) return 0;
+      leftOut += 1;
+      return undefined;
+    },
+  };
 }
 
 const pretty = winston.format.printf(({ timestamp, level, message, ...fields }) => {
@@ -29,25 +60,27 @@
   return [timestamp, level, message, ...extra].join(' ');
 });
 
-/** Creates a logger that writes to standard error. */
+/** Creates a logger; it never waits for what reads its lines. */
 export function createLogger(options: LoggerOptions = {}): Logger {
   const { level = 'info', format = LOG_FORMAT.JSON, fields = {} } = options;
+  const { stream = process.stderr, mostPerSecond = Infinity, now = () => performance.now() } = options;
+  const limiter = createLimiter(mostPerSecond, now);
   const last = format === LOG_FORMAT.PRETTY ? pretty : winston.format.json();
   const logger = winston.createLogger({
     level,
     defaultMeta: fields,
     format: winston.format.combine(winston.format.timestamp(), last),
-    transports: [new winston.transports.Stream({ stream: process.stderr })],
+    transports: [new winston.transports.Stream({ stream })],
   });
+  const write = (severity: 'info' | 'warn' | 'error', message: string, extra?: LogFields): void => {
+    const leftOut = limiter.take();
+    if (leftOut === undefined) return;
+    if (leftOut > 0) logger.warn('lines left out', { count: leftOut });
+    logger.log(severity, message, extra);
+  };
   return {
-    info: (message, extra) => {
-      logger.info(message, extra);
-    },
-    warn: (message, extra) => {
-      logger.warn(message, extra);
-    },
-    error: (message, extra) => {
-      logger.error(message, extra);
-    },
+    info: (message, extra) => write('info', message, extra),
+    warn: (message, extra) => write('warn', message, extra),
+    error: (message, extra) => write('error', message, extra),
   };
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 import { every, startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { chooseNeighbours, type Link, type PeerNetwork } from '@bulrushspar/peer';
-import type { HostList, Incarnation, HostState, ListedHost } from '@bulrushspar/platform';
+import type { HostList, Incarnation, HostState, ListedHost } from '@bulrushspar/store';
 
 /** What a node tells its neighbours about itself at each heartbeat. */
 export interface Vitals {
--- a/packages/membership/src/rank.ts
+++ b/packages/membership/src/rank.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { HOST_STATE, type ListedHost } from '@bulrushspar/platform';
+import { HOST_STATE, type ListedHost } from '@bulrushspar/store';
 
 const rankOf = (duty: string, host: string): string =>
   createHash('sha256').update(`${duty}/${host}`).digest('hex');
--- a/packages/node/src/agreement.ts
+++ b/packages/node/src/agreement.ts
@@ -4,7 +4,7 @@
   type ConfigurationFollower,
 } from '@bulrushspar/configuration';
 import type { TraceBook } from '@bulrushspar/gateway';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 import type { Limits } from '@bulrushspar/limits';
 import type { Logger } from '@bulrushspar/logging';
 import { createMembership, type Membership } from '@bulrushspar/membership';
--- a/packages/node/src/chores.ts
+++ b/packages/node/src/chores.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '@bulrushspar/logging';
 import { isRanked, type Membership } from '@bulrushspar/membership';
 import type { Placer } from '@bulrushspar/placement';
-import type { Incarnation, ObjectStore } from '@bulrushspar/platform';
+import type { Incarnation, ObjectStore } from '@bulrushspar/store';
 
 /** Chores that one host of the fleet does at a time. */
 export interface Chores {
--- a/packages/node/src/credit.ts
+++ b/packages/node/src/credit.ts
@@ -1,7 +1,7 @@
 import type { AuditTrail } from '@bulrushspar/audit';
 import type { Clock } from '@bulrushspar/clock';
 import type { AcceptedConfiguration } from '@bulrushspar/configuration';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 import {
   createGather,
   createLimits,
--- a/packages/node/src/freshness.ts
+++ b/packages/node/src/freshness.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationFollower } from '@bulrushspar/configuration';
 import type { Readiness } from '@bulrushspar/gateway';
 import { isRanked, type Membership } from '@bulrushspar/membership';
-import type { ListedHost } from '@bulrushspar/platform';
+import type { ListedHost } from '@bulrushspar/store';
 
 const MILLISECONDS_PER_SECOND = 1000;
 const WATCHERS_PER_DOMAIN = 2;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,7 +16,7 @@
 import { createMetrics } from '@bulrushspar/metrics';
 import { createOperations, createOperatorServer } from '@bulrushspar/operator';
 import { createPlacer, createTurns } from '@bulrushspar/placement';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 import { createSuspects } from '@bulrushspar/routing';
 import type { Settings } from '@bulrushspar/settings';
 import { createTargetRegistry, isLoading } from '@bulrushspar/targets';
--- a/packages/node/src/platform.ts
+++ b/packages/node/src/platform.ts
@@ -6,7 +6,7 @@
   type HostList,
   type ObjectStore,
   type WeightStore,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 import type { Settings } from '@bulrushspar/settings';
 
 /** Connections to the platform. */
--- a/packages/node/src/status.ts
+++ b/packages/node/src/status.ts
@@ -1,6 +1,6 @@
 import type { AcceptedConfiguration } from '@bulrushspar/configuration';
 import type { ModelQueues, Readiness } from '@bulrushspar/gateway';
-import type { Incarnation, WeightStore, WeightStoreStatus } from '@bulrushspar/platform';
+import type { Incarnation, WeightStore, WeightStoreStatus } from '@bulrushspar/store';
 import type { Placer, Turns } from '@bulrushspar/placement';
 import type { MemberView } from '@bulrushspar/membership';
 import type { Traffic } from '@bulrushspar/peer';
--- a/packages/node/src/turns.ts
+++ b/packages/node/src/turns.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bulrushspar/clock';
 import { createTurns, type Turns } from '@bulrushspar/placement';
-import type { Incarnation, ObjectStore } from '@bulrushspar/platform';
+import type { Incarnation, ObjectStore } from '@bulrushspar/store';
 
 /** Options of {@link createTurnsByName}. */
 export interface TurnsByNameOptions {
--- a/packages/operator/src/operations.ts
+++ b/packages/operator/src/operations.ts
@@ -11,7 +11,7 @@
   type CommitResult,
   type Committer,
 } from '@bulrushspar/configuration';
-import type { ObjectStore } from '@bulrushspar/platform';
+import type { ObjectStore } from '@bulrushspar/store';
 import type { Operation, OperatorAnswer, OperatorRequest } from './operator.js';
 
 /** What the operations work with. */
--- a/packages/peer/src/handshake.ts
+++ b/packages/peer/src/handshake.ts
@@ -1,5 +1,5 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 import type { Connection } from './connection.js';
 
 /** The two ends of a connection. */
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bulrushspar/clock';
 import { messageOf, wrapError } from '@bulrushspar/errors';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 import type { Connection, PeerMessage } from './connection.js';
 
 /** Answers messages of one type; what it returns goes back where an answer is expected. */
--- a/packages/peer/src/network.ts
+++ b/packages/peer/src/network.ts
@@ -1,6 +1,6 @@
 import { WebSocket, WebSocketServer } from 'ws';
 import type { Clock } from '@bulrushspar/clock';
-import type { Incarnation } from '@bulrushspar/platform';
+import type { Incarnation } from '@bulrushspar/store';
 import { createConnection, type Connection, type Traffic } from './connection.js';
 import { ROLE, shakeHands, type Role } from './handshake.js';
 import { createLink, type Link, type PeerHandlers } from './link.js';
--- a/packages/placement/src/book.ts
+++ b/packages/placement/src/book.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bulrushspar/clock';
-import type { ObjectStore } from '@bulrushspar/platform';
+import type { ObjectStore } from '@bulrushspar/store';
 import type { ServerView } from '@bulrushspar/targets';
 import {
   MEMORY_KIND,
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bulrushspar/clock';
 import type { Configuration, Model } from '@bulrushspar/configuration';
 import { createRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
-import { isStoreError, type ObjectStore } from '@bulrushspar/platform';
+import { isStoreError, type ObjectStore } from '@bulrushspar/store';
 import {
   isLoading,
   ORDER,
--- a/packages/placement/src/turns.ts
+++ b/packages/placement/src/turns.ts
@@ -2,7 +2,7 @@
 import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { PRIORITY, type Priority } from '@bulrushspar/configuration';
 import { createRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
-import { isSameIncarnation, type Incarnation, type ObjectStore } from '@bulrushspar/platform';
+import { isSameIncarnation, type Incarnation, type ObjectStore } from '@bulrushspar/store';
 import { createUpdater } from './update.js';
 
 /** A piece of work that some hosts want to do or have begun. */
--- a/packages/placement/src/update.ts
+++ b/packages/placement/src/update.ts
@@ -8,7 +8,7 @@
   EFFECT,
   type ObjectKey,
   type ObjectStore,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 
 interface Tokened {
   readonly token: string;
--- a/packages/placement/test/turns.ts
+++ b/packages/placement/test/turns.ts
@@ -6,7 +6,7 @@
 import { PRIORITY, type Priority } from '@bulrushspar/configuration';
 import { isRefusal } from '@bulrushspar/errors';
 import { createTurns, TURN_KIND, type TurnRecord, type Turns } from '@bulrushspar/placement';
-import { isStoreError } from '@bulrushspar/platform';
+import { isStoreError } from '@bulrushspar/store';
 import { createMemoryStore, type MemoryStore, type StoreFault } from '@bulrushspar/standins';
 
 interface MovingStage {
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,43 @@
+/** The path of one request: admission, choice of a server, relay, retries. */
+export {
+  costOfCall,
+  createAdmission,
+  type Admission,
+  type AdmissionOptions,
+  type Admitted,
+} from './admit.js';
+export {
+  isRepeatable,
+  type AnswerHead,
+  type AnswerSink,
+  type Attempt,
+  type Call,
+  type ModelNeed,
+  type PromptPart,
+  type Reply,
+  type SendCall,
+  type ServerLoad,
+} from './call.js';
+export { canServe, chooseServer, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
+export { createEventSplitter, type EventSplitter } from './events.js';
+export { createServingMetrics, type ServingMetrics } from './metrics.js';
+export {
+  ANSWER_FAULT,
+  createStreamRelay,
+  createWholeRelay,
+  isAnswerError,
+  type AnswerError,
+  type AnswerFault,
+  type Relay,
+  type RelayOptions,
+} from './relay.js';
+export { createServe, type Serve, type ServeOptions } from './serve.js';
+export { createServerStates, type ServerState, type ServerStates } from './servers.js';
+export {
+  createModelWaits,
+  WAIT_END,
+  type ModelWait,
+  type ModelWaits,
+  type ModelWaitsOptions,
+  type WaitResult,
+} from './waits.js';
--- /dev/null
+++ b/packages/serving/src/waits.ts
@@ -0,0 +1,141 @@
+import type { Clock } from '@bulrushspar/clock';
+import type { Outlook, Want } from '@bulrushspar/loading';
+
+/** Why a wait for a model ended. */
+export const WAIT_END = {
+  READY: 'ready',
+  /** The model will not be ready in time. */
+  TOO_LATE: 'too-late',
+  /** Nobody gives orders to servers now. */
+  NO_COMMANDER: 'no-commander',
+  GONE: 'gone',
+} as const;
+
+/** Result of a wait for a model. */
+export interface WaitResult {
+  readonly end: (typeof WAIT_END)[keyof typeof WAIT_END];
+  /** When the model is expected, in milliseconds from now, where that is known. */
+  readonly readyMilliseconds?: number;
+}
+
+/** A request that waits for a model. */
+export interface ModelWait {
+  readonly model: string;
+  readonly credit: number;
+  /** Time left until the request is no longer served in time. */
+  readonly objectiveMilliseconds: number;
+  /** Time left until the request must be answered. */
+  readonly remainingMilliseconds: number;
+  readonly signal: AbortSignal;
+}
+
+/** Requests of this host that wait for models. */
+export interface ModelWaits {
+  wait(request: ModelWait): Promise<WaitResult>;
+  /** Ends the waits for models that are on a server now. */
+  noteReady(isReady: (model: string) => boolean): void;
+  /** Ends the waits that the giver of orders says would last too long. */
+  noteOutlook(outlook: readonly Outlook[]): void;
+  /** What is waited for, for the giver of orders. */
+  wants(): readonly Want[];
+}
+
+/** Options of {@link createModelWaits}. */
+export interface ModelWaitsOptions {
+  readonly clock: Clock;
+  /** Called when a model is waited for that was not before. */
+  readonly onWant?: () => void;
+  /** Time without any word about a model after which its requests are refused, in milliseconds. */
+  readonly silenceMilliseconds?: number;
+}
+
+/** Time that serving takes once the model is ready; a wait must leave at least this. */
+const SERVING_MILLISECONDS = 800;
+
+interface Waiter {
+  readonly request: ModelWait;
+  readonly since: number;
+  readonly settle: (result: WaitResult) => void;
+}
+
+/** Creates the waits of one host. */
+export function createModelWaits(options: ModelWaitsOptions): ModelWaits {
+  const { clock, onWant = () => {}, silenceMilliseconds = 1500 } = options;
+  const waiters = new Map<string, Set<Waiter>>();
+  /** When something was last heard about a model, or it was first waited for. */
+  const heardAt = new Map<string, number>();
+
+  const leftOf = ({ request, since }: Waiter): number =>
+    request.remainingMilliseconds - (clock.monotonic() - since);
+
+  const watchSilence = (model: string): void => {
+    clock.after(silenceMilliseconds, () => {
+      const waiting = waiters.get(model);
+      if (!waiting || waiting.size === 0) return;
+      const silent = clock.monotonic() - heardAt.get(model)!;
+      if (silent >= silenceMilliseconds) {
+        [...waiting].forEach(({ settle }) => settle({ end: WAIT_END.NO_COMMANDER }));
+      } else watchSilence(model);
+    });
+  };
+
+  const wait = (request: ModelWait): Promise<WaitResult> =>
+    new Promise((resolve) => {
+      const { model, signal } = request;
+      const isNew = !waiters.has(model);
+      const waiting = waiters.get(model) ?? new Set<Waiter>();
+      waiters.set(model, waiting);
+      const onGone = (): void => waiter.settle({ end: WAIT_END.GONE });
+      const waiter: Waiter = {
+        request,
+        since: clock.monotonic(),
+        settle: (result) => {
+          waiting.delete(waiter);
+          if (waiting.size === 0) waiters.delete(model);
+          signal.removeEventListener('abort', onGone);
+          resolve(result);
+        },
+      };
+      waiting.add(waiter);
+      signal.addEventListener('abort', onGone, { once: true });
+      if (!isNew) return;
+      heardAt.set(model, clock.monotonic());
+      watchSilence(model);
+      onWant();
+    });
+
+  return {
+    wait,
+    noteReady: (isReady) => {
+      [...waiters].forEach(([model, waiting]) => {
+        if (!isReady(model)) return;
+        [...waiting].forEach(({ settle }) => settle({ end: WAIT_END.READY, readyMilliseconds: 0 }));
+      });
+    },
+    noteOutlook: (outlook) => {
+      outlook.forEach(({ model, readyMilliseconds }) => {
+        const waiting = waiters.get(model);
+        if (!waiting) return;
+        heardAt.set(model, clock.monotonic());
+        [...waiting].forEach((waiter) => {
+          const needed = (readyMilliseconds ?? 0) + SERVING_MILLISECONDS;
+          if (needed <= leftOf(waiter)) return;
+          waiter.settle({ end: WAIT_END.TOO_LATE, readyMilliseconds });
+        });
+      });
+    },
+    wants: () =>
+      [...waiters].map(([model, waiting]) => {
+        const now = clock.monotonic();
+        const objectives = [...waiting].map(
+          ({ request, since }) => request.objectiveMilliseconds - (now - since),
+        );
+        return {
+          model,
+          count: waiting.size,
+          credit: [...waiting].reduce((sum, { request }) => sum + request.credit, 0),
+          objectiveMilliseconds: Math.min(...objectives),
+        };
+      }),
+  };
+}
--- a/packages/standins/src/memory.ts
+++ b/packages/standins/src/memory.ts
@@ -9,7 +9,7 @@
   type Version,
   type WatchAnswer,
   type WriteAnswer,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 
 /** What a fault does to one call of the object API. */
 export const STORE_FAULT = {
--- a/packages/standins/src/objects.ts
+++ b/packages/standins/src/objects.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { WRITE_OUTCOME, type ObjectKey, type WriteAnswer } from '@bulrushspar/platform';
+import { WRITE_OUTCOME, type ObjectKey, type WriteAnswer } from '@bulrushspar/store';
 import { listen, pause, readBody, type Standin } from './listen.js';
 import {
   createMemoryStore,
--- a/packages/platform/src/follow.ts
+++ b/packages/store/src/follow.ts
@@ -4,13 +4,19 @@
 /** All objects of a kind, by name. */
 export type ObjectView<Value> = ReadonlyMap<string, StoredObject<Value>>;
 
+/** What is known of a kind's objects, and when it last changed. */
+export interface ViewVersion {
+  /** Version of the store at the last change of the view. */
+  readonly changedAt: Version;
+}
+
 /** Options of {@link followKind}. */
 export interface FollowOptions<Value> {
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly kind: string;
   /** Called with the whole view after each change. */
-  readonly onView: (view: ObjectView<Value>) => void;
+  readonly onView: (view: ObjectView<Value>, version: ViewVersion) => void;
   /** Called before each call. */
   readonly onCall?: () => void;
   /** Called after each answer of the store, with or without changes. */
@@ -18,10 +24,13 @@
   /** Called after each call that was not answered. */
   readonly onFailure?: (error: unknown) => void;
   readonly signal: AbortSignal;
+  /** Called before each watch; aborting the signal that it returns reads the list anew. */
+  readonly renew?: () => AbortSignal;
   /** Longest wait of one watch call, in seconds. */
   readonly watchSeconds?: number;
-  /** Pause after a failed call, in milliseconds. */
+  /** Pause after a failed call, in milliseconds; it doubles with each failure in a row. */
   readonly pauseMilliseconds?: number;
+  readonly longestPauseMilliseconds?: number;
 }
 
 interface Cursor<Value> {
@@ -33,7 +42,7 @@
   const list = await options.store.list<Value>(options.kind);
   const view = new Map(list.objects.map((object) => [object.name, object]));
   options.onAnswer?.();
-  options.onView(view);
+  options.onView(view, { changedAt: list.version });
   return { version: list.version, view };
 }
 
@@ -41,7 +50,8 @@
   options: FollowOptions<Value>,
   cursor: Cursor<Value>,
 ): Promise<Cursor<Value> | undefined> {
-  const { store, kind, watchSeconds = 20, signal } = options;
+  const { store, kind, watchSeconds = 20, renew } = options;
+  const signal = renew ? AbortSignal.any([options.signal, renew()]) : options.signal;
   const answer = await store.watch<Value>(kind, cursor.version, watchSeconds, signal);
   options.onAnswer?.();
   if (answer.expired) return undefined;
@@ -49,24 +59,29 @@
     if (value === undefined) cursor.view.delete(name);
     else cursor.view.set(name, { name, version, value });
   });
-  if (answer.changes.length > 0) options.onView(cursor.view);
+  if (answer.changes.length > 0) options.onView(cursor.view, { changedAt: answer.version });
   return { version: answer.version, view: cursor.view };
 }
 
 /** Follows all objects of a kind until the signal, through outages of the store. */
 export async function followKind<Value>(options: FollowOptions<Value>): Promise<void> {
-  const { clock, signal, pauseMilliseconds = 200 } = options;
+  const { clock, signal, pauseMilliseconds = 200, longestPauseMilliseconds = 200 } = options;
   let cursor: Cursor<Value> | undefined;
+  let pause = pauseMilliseconds;
   while (!signal.aborted) {
     options.onCall?.();
     try {
       // eslint-disable-next-line no-await-in-loop -- each answer says where the next call starts
       cursor = cursor ? await readChanges(options, cursor) : await readAll(options);
+      pause = pauseMilliseconds;
     } catch (error) {
       if (signal.aborted) return;
+      // What was missed may be more than the history holds.
+      cursor = undefined;
       options.onFailure?.(error);
       // eslint-disable-next-line no-await-in-loop -- a pause between calls
-      await clock.delay(pauseMilliseconds, signal);
+      await clock.delay(pause, signal);
+      pause = Math.min(longestPauseMilliseconds, pause * 2);
     }
   }
 }
--- a/packages/platform/src/http.ts
+++ b/packages/store/src/http.ts
@@ -9,7 +9,7 @@
 
 /** One call to the platform. */
 export interface JsonCall {
-  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
   readonly signal?: AbortSignal;
@@ -32,12 +32,23 @@
   return NOT_SENT_CODES.has(code) ? EFFECT.NONE : EFFECT.UNKNOWN;
 }
 
+/** Options of {@link createJsonClient}. */
+export interface JsonClientOptions {
+  /** Statuses of 500 and more by which the service states that it has done nothing. */
+  readonly notDoneStatuses?: readonly number[];
+}
+
 /**
  * Creates a client. Calls are never repeated by it.
  * @param baseUrl of the platform's service
  * @param timeoutMilliseconds time allowed for a call
  */
-export function createJsonClient(baseUrl: string, timeoutMilliseconds: number): JsonClient {
+export function createJsonClient(
+  baseUrl: string,
+  timeoutMilliseconds: number,
+  options: JsonClientOptions = {},
+): JsonClient {
+  const { notDoneStatuses = [] } = options;
   const dispatcher: Dispatcher = new Agent({
     pipelining: 1,
     connect: { timeout: timeoutMilliseconds },
@@ -64,7 +75,8 @@
       });
       if (answer.status >= FIRST_SERVER_ERROR) {
         const message = `${call.method} ${call.path} answered ${answer.status}`;
-        throw createStoreError(EFFECT.UNKNOWN, message);
+        const notDone = notDoneStatuses.includes(answer.status);
+        throw createStoreError(notDone ? EFFECT.NONE : EFFECT.UNKNOWN, message);
       }
       return answer;
     },
--- a/packages/platform/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,5 +1,5 @@
 /** Ports to the platform and their HTTP adapters; conditional writes settled through lost answers. */
-export { followKind, type FollowOptions, type ObjectView } from './follow.js';
+export { followKind, type FollowOptions, type ObjectView, type ViewVersion } from './follow.js';
 export {
   createHttpHostList,
   HOST_STATE,
@@ -8,7 +8,13 @@
   type ListedHost,
 } from './hosts.js';
 export { isSameIncarnation, type Incarnation } from './incarnation.js';
-export { createJsonClient, type JsonAnswer, type JsonCall, type JsonClient } from './http.js';
+export {
+  createJsonClient,
+  type JsonAnswer,
+  type JsonCall,
+  type JsonClient,
+  type JsonClientOptions,
+} from './http.js';
 export { createHttpObjectStore } from './objects.js';
 export {
   ABSENT,
--- a/packages/platform/test/adapters.ts
+++ b/packages/store/test/adapters.ts
@@ -8,7 +8,7 @@
   type HostList,
   type ObjectStore,
   type WeightStore,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 import { startHosts, startObjects, startWeights, type StoreFault } from '@bulrushspar/standins';
 
 /** Time allowed for a call, in milliseconds. */
--- a/packages/platform/test/contract.ts
+++ b/packages/store/test/contract.ts
@@ -8,7 +8,7 @@
   WRITE_OUTCOME,
   type Settled,
   type StoreError,
-} from '@bulrushspar/platform';
+} from '@bulrushspar/store';
 import { waitUntil } from '@bulrushspar/bench';
 import type { StoreFault } from '@bulrushspar/standins';
 import {
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -5,7 +5,8 @@
 export interface TargetCall {
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  /** By name, or names and values in turn. */
+  readonly headers: Readonly<Record<string, string>> | readonly string[];
   readonly body?: Buffer | string;
 }
 
@@ -131,7 +132,7 @@
       {
         method: call.method as Dispatcher.HttpMethod,
         path: call.path,
-        headers: call.headers as Record<string, string>,
+        headers: call.headers as Record<string, string> | string[],
         body: call.body ?? null,
         idempotent: false,
         headersTimeout: 0,
