Trace: the list's sequence counts heartbeats; orders number themselves from reports

Cause: 582 of 599 orders refused, since the book took the heartbeat count of a server's entry for its count of orders. Change: entries only confirm orders; the number comes from the report.

--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -18,8 +18,6 @@
   readonly leaving: boolean;
   /** Unix milliseconds of the server's start; tells starts under one id apart. */
   readonly born: number;
-  /** Orders that the server has accepted since its start. */
-  readonly sequence: number;
   readonly models: readonly ResidentModel[];
   /** Models that the server can load from its main memory. */
   readonly inMemory: readonly string[];
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -81,30 +81,31 @@
 }
 
 /**
- * Takes what a server wrote about itself. An entry older than the orders that the server has
- * accepted since says nothing about what it holds now.
+ * Takes what a server wrote about itself. The entry lags and does not say how many orders it
+ * follows, so it only confirms orders, and shows what must be asked anew.
  * @returns whether the order under way is done
  */
 export function takeEntry(book: ServerBook, entry: ServerEntry, clock: Clock): boolean {
+  const opened = book;
   const restarted = entry.born !== book.entry.born;
-  book.entry = entry;
+  opened.entry = entry;
   if (restarted) {
-    reopenBook(book);
+    reopenBook(opened);
     return true;
   }
-  if (book.sequence === undefined) {
-    book.models = adaptersOf(entry);
+  const models = adaptersOf(entry);
+  if (opened.sequence === undefined) {
+    opened.models = models;
     return false;
   }
-  if (entry.sequence < book.sequence) return false;
-  if (entry.sequence > book.sequence) book.doubtful = [];
-  const models = adaptersOf(entry);
-  const { underWay } = book;
-  if (underWay && !showsDone(underWay, models)) return false;
-  if (underWay) finishOrder(book, clock);
-  book.sequence = entry.sequence;
-  book.models = models;
-  return underWay !== undefined;
+  const { underWay } = opened;
+  if (underWay && showsDone(underWay, models)) {
+    finishOrder(opened, clock);
+    return true;
+  }
+  const late = opened.doubtful.some(({ model }) => models.has(model) && !opened.models.has(model));
+  if (late) opened.sequence = undefined;
+  return false;
 }
 
 /** Takes a report that was asked for after the last order had been answered. */
--- a/packages/serving/src/relay.ts
+++ b/packages/serving/src/relay.ts
@@ -44,8 +44,8 @@
   readonly onFirst: () => void;
   /** Called with the head of each answer. */
   readonly onHead: (head: AnswerHead) => void;
-  /** Whether a failure that the server answers with may be followed by another attempt. */
-  readonly mayRepeat: boolean;
+  /** Tells whether a failure that the server answers with may be followed by another attempt. */
+  readonly mayRepeat: () => boolean;
 }
 
 const OK = 200;
@@ -75,7 +75,7 @@
   }
   if (head.notRun || head.otherServer) throw answerError(ANSWER_FAULT.NOT_RUN, head);
   if (isSuccess(head.status) && !head.signed) throw answerError(ANSWER_FAULT.FOREIGN, head);
-  if (head.status >= FIRST_SERVER_ERROR && mayRepeat) throw answerError(ANSWER_FAULT.FAILED, head);
+  if (head.status >= FIRST_SERVER_ERROR && mayRepeat()) throw answerError(ANSWER_FAULT.FAILED, head);
 }
 
 const tooLarge = (): Refusal =>
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -263,9 +263,13 @@
     if (head.load) noted.load = { ...head.load, at: clock.monotonic() };
   };
 
+  /** Tells whether a request that a server has run may run at another one. */
+  const mayRunAgain = ({ admitted: { route }, runs, sends }: Work<SomeCall>): boolean =>
+    isRepeatable(route) && runs + 1 < route.attempts && sends < MOST_SENDS;
+
   /** Judges a failed attempt: throws the refusal that ends the request, or returns to go on. */
   const judge = (work: Work<SomeCall>, state: ServerState, error: unknown): void => {
-    const { call, admitted, signal, reply } = work;
+    const { call, signal, reply } = work;
     if (signal.aborted) throw signal.reason;
     if (isRefusal(error)) throw error;
     const { need } = call;
@@ -285,11 +289,11 @@
       if (need?.adapter !== undefined) state.adapters.delete(`${need.model}/${need.adapter}`);
       return;
     }
-    Object.assign(work, { runs: work.runs + 1 });
     servers.noteOutcome(state, true);
     const cut = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
     if (cut) suspects.noteCrash(call.fingerprint(), state.entry.id, startStopwatch(clock));
-    const ends = !isRepeatable(admitted.route) || work.runs >= admitted.route.attempts;
+    const ends = !mayRunAgain(work);
+    Object.assign(work, { runs: work.runs + 1 });
     if (ends) throw failedAfterSending(error);
     if (reply.begun() && work.relay.lastEventId() === undefined) throw failedAfterSending(error);
   };
@@ -333,14 +337,20 @@
   /** Where each relay's next head is noted. */
   const heads = new WeakMap<Relay, (head: AnswerHead) => void>();
 
-  const openRelay = (call: SomeCall, reply: Reply, { route }: Admitted, onFirst: () => void) => {
+  const openRelay = (
+    call: SomeCall,
+    reply: Reply,
+    { route }: Admitted,
+    onFirst: () => void,
+    mayRepeat: () => boolean,
+  ) => {
     const relayOptions = {
       reply,
       callId: call.id,
       lastEventId: call.lastEventId,
       onFirst,
       onHead: (head: AnswerHead) => heads.get(relay)?.(head),
-      mayRepeat: isRepeatable(route),
+      mayRepeat,
     };
     const relay: Relay =
       route.kind === ROUTE_KIND.STREAM
@@ -405,7 +415,8 @@
     const { route } = admitted;
     const allowed = Math.min(route.timeoutMilliseconds, call.patienceMilliseconds ?? Infinity);
     const { signal, cancel } = limit(reply, allowed);
-    const relay = openRelay(call, reply, admitted, () => metrics.firstByte.record(age()));
+    const onFirst = (): void => metrics.firstByte.record(age());
+    const relay = openRelay(call, reply, admitted, onFirst, () => mayRunAgain(work));
     const work: Work<SomeCall> = {
       call,
       reply,
--- a/packages/store/src/follow.ts
+++ b/packages/store/src/follow.ts
@@ -4,9 +4,9 @@
 /** All objects of a kind, by name. */
 export type ObjectView<Value> = ReadonlyMap<string, StoredObject<Value>>;
 
-/** What is known of a kind's objects, and when it last changed. */
+/** How new a view is. */
 export interface ViewVersion {
-  /** Version of the store at the last change of the view. */
+  /** Highest version of an object in the view or in what changed it. */
   readonly changedAt: Version;
 }
 
@@ -33,6 +33,9 @@
   readonly longestPauseMilliseconds?: number;
 }
 
+const highest = (objects: readonly { readonly version: Version }[]): Version =>
+  objects.reduce((most, { version }) => Math.max(most, version), 0);
+
 interface Cursor<Value> {
   readonly version: Version;
   readonly view: Map<string, StoredObject<Value>>;
@@ -42,7 +45,7 @@
   const list = await options.store.list<Value>(options.kind);
   const view = new Map(list.objects.map((object) => [object.name, object]));
   options.onAnswer?.();
-  options.onView(view, { changedAt: list.version });
+  options.onView(view, { changedAt: highest(list.objects) });
   return { version: list.version, view };
 }
 
@@ -59,7 +62,7 @@
     if (value === undefined) cursor.view.delete(name);
     else cursor.view.set(name, { name, version, value });
   });
-  if (answer.changes.length > 0) options.onView(cursor.view, { changedAt: answer.version });
+  if (answer.changes.length > 0) options.onView(cursor.view, { changedAt: highest(answer.changes) });
   return { version: answer.version, view: cursor.view };
 }
 
