--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -28,10 +28,12 @@
 import {
   MESSAGE,
   type AdapterMessage,
+  type ChangesMessage,
   type HostState,
   type OutlookMessage,
   type PullMessage,
   type SuspectMessage,
+  type UnloadingMessage,
   type WantsMessage,
 } from './messages.js';
 import { createOrderDuty, type OrderDuty } from './orders.js';
@@ -146,9 +148,7 @@
   });
 
   const isLoaded = (model: string): boolean =>
-    [...servers.all()].some(
-      ({ entry }) => !entry.leaving && entry.models.some(({ name }) => name === model),
-    );
+    [...servers.all()].some((state) => servers.holdsModel(state, model));
   const waits = createModelWaits({ clock, onWant: () => tellWants() });
   const admission = createAdmission({ bucketOf: quotas.of, random });
 
@@ -162,6 +162,16 @@
     },
   });
 
+  const gossip = createGossip({
+    clock,
+    self: host.name,
+    quotas,
+    servers,
+    demand,
+    sources: () => sources,
+    duty: () => duty,
+  });
+
   const takeConfiguration = (view: ObjectView<unknown>): void => {
     const next = options.decodeConfiguration(view);
     if (!next || (configuration && next.version <= configuration.version)) return;
@@ -181,7 +191,13 @@
     directory.update(new Map(entries));
   };
 
-  const sourceOptions = { store, clock, logger };
+  const sourceOptions = {
+    store,
+    clock,
+    logger,
+    watchersBefore: (kind: string) => gossip.watchersBefore(kind),
+    onChanges: (message: ChangesMessage) => broadcast(MESSAGE.CHANGES, message),
+  };
   const configurations = createSource({
     ...sourceOptions,
     kind: kinds.configuration,
@@ -204,7 +220,6 @@
   });
   const sources = [configurations, serverEntries, hostRecords];
 
-  const gossip = createGossip({ quotas, servers, demand, sources, duty: () => duty });
 
   const takeOutlook = (outlook: readonly Outlook[]): void => waits.noteOutlook(outlook);
 
@@ -219,9 +234,13 @@
     inUse: gossip.inUse,
     handoverMilliseconds: bounds.handoverMilliseconds,
     rank: () => links().filter(({ peer }) => peer.host < host.name).length,
-    onOutlook: (outlook) => {
+    onOutlook: (outlook, waiting) => {
       takeOutlook(outlook);
-      broadcast(MESSAGE.OUTLOOK, outlook);
+      waiting.forEach((name) => network()?.link(name)?.send(MESSAGE.OUTLOOK, outlook));
+    },
+    onUnloading: (server, model) => {
+      servers.noteUnloading(server, model);
+      broadcast(MESSAGE.UNLOADING, { server, model } satisfies UnloadingMessage);
     },
   });
 
@@ -258,6 +277,16 @@
       const { server, model, adapter } = body as AdapterMessage;
       return duty.commander.ensureAdapter(server, model, adapter);
     },
+    [MESSAGE.UNLOADING]: (body) => {
+      const { server, model } = body as UnloadingMessage;
+      servers.noteUnloading(server, model);
+    },
+    [MESSAGE.CHANGES]: (body, from) => {
+      const message = body as ChangesMessage;
+      const link = network()?.link(from.host);
+      const source = sources.find(({ kind }) => kind === message.kind);
+      if (link) source?.take(link, message);
+    },
     [MESSAGE.PULL]: (body) => {
       const { kind } = body as PullMessage;
       return sources.find((source) => source.kind === kind)?.snapshot();
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -1,3 +1,4 @@
+import { startSlowStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import type { Demand } from '@bulrushspar/loading';
 import type { Link } from '@bulrushspar/peer';
 import type { ServerStates } from '@bulrushspar/serving';
@@ -16,23 +17,36 @@
   forget(host: string): void;
   /** Tells whether requests of any host run with a model on a server. */
   inUse(server: string, model: string): boolean;
+  /** Hosts with a better rank that watch a kind in the store. */
+  watchersBefore(kind: string): number;
 }
 
 /** Options of {@link createGossip}. */
 export interface GossipOptions {
+  readonly clock: Clock;
+  readonly self: string;
   readonly quotas: Quotas;
   readonly servers: ServerStates;
   /** Demand over all hosts. */
   readonly demand: Demand;
-  readonly sources: readonly Source[];
+  readonly sources: () => readonly Source[];
   readonly duty: () => OrderDuty;
 }
 
 type Running = HostState['running'];
 
+interface Watching {
+  readonly kinds: readonly string[];
+  readonly since: Stopwatch;
+}
+
+/** Time after which what a host said about its watches no longer counts: several states. */
+const WATCHING_MILLISECONDS = 1000;
+
 /** Creates the exchange of one host. */
 export function createGossip(options: GossipOptions): Gossip {
-  const { quotas, servers, demand, sources, duty } = options;
+  const { clock, self, quotas, servers, demand, sources, duty } = options;
+  const watching = new Map<string, Watching>();
   const running = new Map<string, Running>();
   let asked: Record<string, number> = {};
 
@@ -65,7 +79,10 @@
         running: ownRunning(),
         asked,
         leads: duty().leads(),
-        seen: Object.fromEntries(sources.map((source) => [source.kind, source.changedAt()])),
+        seen: Object.fromEntries(sources().map((source) => [source.kind, source.changedAt()])),
+        watches: sources()
+          .filter((source) => source.watches())
+          .map(({ kind }) => kind),
       };
       asked = {};
       return state;
@@ -77,7 +94,8 @@
       recount();
       Object.entries(state.asked).forEach(([model, credit]) => demand.note(model, credit));
       duty().hear(peer.host, state.leads);
-      sources.forEach((source) => source.hear(link, state.seen[source.kind] ?? 0));
+      watching.set(peer.host, { kinds: state.watches, since: startSlowStopwatch(clock) });
+      sources().forEach((source) => source.hear(link, state.seen[source.kind] ?? 0));
     },
     noteAsked: (model, credit) => {
       asked[model] = (asked[model] ?? 0) + credit;
@@ -85,8 +103,14 @@
     },
     forget: (host) => {
       running.delete(host);
+      watching.delete(host);
       recount();
     },
+    watchersBefore: (kind) =>
+      [...watching].filter(
+        ([host, { kinds, since }]) =>
+          host < self && kinds.includes(kind) && since() < WATCHING_MILLISECONDS,
+      ).length,
     inUse: (server, model) => {
       if ((servers.get(server)?.outstandingByModel.get(model) ?? 0) > 0) return true;
       return [...running.values()].some((byServer) => (byServer[server]?.[model] ?? 0) > 0);
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,6 @@
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { SuspectNews } from '@bulrushspar/routing';
-import type { StoredObject } from '@bulrushspar/store';
+import type { ObjectChange, StoredObject } from '@bulrushspar/store';
 
 /** Messages between the hosts of a fleet. */
 export const MESSAGE = {
@@ -12,6 +12,10 @@
   OUTLOOK: 'outlook',
   /** Asks the giver of orders for an adapter. */
   ADAPTER: 'adapter',
+  /** A server is about to unload a model; sent by the giver of orders. */
+  UNLOADING: 'unloading',
+  /** Changes of a kind's objects; sent by the hosts that watch the store. */
+  CHANGES: 'changes',
   /** Asks for all objects of a kind. */
   PULL: 'pull',
   /** A request that a server crashed under. */
@@ -30,6 +34,23 @@
   readonly leads?: number;
   /** Version at which each followed kind last changed. */
   readonly seen: Readonly<Record<string, number>>;
+  /** Kinds that the host watches in the store, and whose watch was answered lately. */
+  readonly watches: readonly string[];
+}
+
+/** Body of {@link MESSAGE.UNLOADING}. */
+export interface UnloadingMessage {
+  readonly server: string;
+  readonly model: string;
+}
+
+/** Body of {@link MESSAGE.CHANGES}. */
+export interface ChangesMessage {
+  readonly kind: string;
+  /** Version that the changes follow. */
+  readonly since: number;
+  readonly changedAt: number;
+  readonly changes: readonly ObjectChange[];
 }
 
 /** Body of {@link MESSAGE.WANTS}. */
@@ -54,6 +75,8 @@
 export interface PullAnswer {
   readonly changedAt: number;
   readonly objects: readonly StoredObject[];
+  /** The store came back so lately that entries may be missing that return. */
+  readonly afterOutage: boolean;
 }
 
 /** Body of {@link MESSAGE.SUSPECT}. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -34,7 +34,10 @@
   readonly demand: Demand;
   readonly configuration: () => FleetConfiguration | undefined;
   readonly inUse: (server: string, model: string) => boolean;
-  readonly onOutlook: (outlook: readonly Outlook[]) => void;
+  /** Called with when models will be ready, and the hosts that wait for them. */
+  readonly onOutlook: (outlook: readonly Outlook[], hosts: readonly string[]) => void;
+  /** Called before a server is told to unload a model. */
+  readonly onUnloading: (server: string, model: string) => void;
   /** Pause between the last order of one host and the first one of another, in milliseconds. */
   readonly handoverMilliseconds: number;
   /** Place of this host among those that contend, so that not all do at once. */
@@ -56,7 +59,7 @@
 /** Creates the duty of one host; it gives no order until it runs and holds the lease. */
 export function createOrderDuty(options: OrderDutyOptions): OrderDuty {
   const { store, clock, logger, self, control, demand, configuration, inUse } = options;
-  const { onOutlook, handoverMilliseconds, rank } = options;
+  const { onOutlook, onUnloading, handoverMilliseconds, rank } = options;
   let heard: Heard | undefined;
   let heldSince: Stopwatch | undefined;
 
@@ -98,6 +101,7 @@
     demand,
     inUse,
     onOutlook,
+    onUnloading,
   });
 
   return {
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -1,21 +1,26 @@
-import type { Clock } from '@bulrushspar/clock';
+import { startSlowStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { messageOf } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import type { Link } from '@bulrushspar/peer';
-import { followKind, type ObjectStore, type ObjectView } from '@bulrushspar/store';
-import { MESSAGE, type PullAnswer, type PullMessage } from './messages.js';
+import { followKind, type ObjectChange, type ObjectStore, type ObjectView, type StoredObject } from '@bulrushspar/store';
+import { MESSAGE, type ChangesMessage, type PullAnswer, type PullMessage } from './messages.js';
 
-/** All objects of one kind, followed in the store and, while that fails, through other hosts. */
+/**
+ * All objects of one kind. A few hosts watch the store and tell the others what has changed; a host
+ * that hears too few of them watches for itself.
+ */
 export interface Source {
   readonly kind: string;
   /** Version at which the view last changed; 0 before the first view. */
   changedAt(): number;
+  /** This host watches the store and was answered lately. */
+  watches(): boolean;
+  /** Takes changes that another host saw. */
+  take(link: Link, message: ChangesMessage): void;
   /** Takes the version at which another host saw the kind change. */
   hear(link: Link, changedAt: number): void;
-  /** Answers another host that cannot reach the store. */
+  /** Answers another host that has missed changes. */
   snapshot(): PullAnswer;
-  /** Reads the list anew on another connection. */
-  refresh(why: string): void;
   run(signal: AbortSignal): Promise<void>;
 }
 
@@ -25,47 +30,83 @@
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Hosts with a better rank that watch this kind, as far as this host hears. */
+  readonly watchersBefore: (kind: string) => number;
   readonly onView: (view: ObjectView<unknown>) => void;
+  /** Called with changes that this host saw in the store. */
+  readonly onChanges: (message: ChangesMessage) => void;
   /** Called when the store answers again after it had failed. */
   readonly onRegained?: () => void;
 }
 
-/** Wait of one watch; a third of the shortest history that a store keeps. */
-const WATCH_SECONDS = 6;
-/** Time that a watch may take longer than another host's to bring the same change. */
-const BEHIND_MILLISECONDS = 300;
+/** Hosts that watch each kind: one may fail while another takes its place. */
+const WATCHERS = 2;
+/** Wait of one watch; a silent store shows after little more. */
+const WATCH_SECONDS = 1;
+/** Time without an answer after which a watch does not count: a watch and its margin. */
+const SILENT_MILLISECONDS = 2200;
+/** Time that changes may take from host to host. */
+const BEHIND_MILLISECONDS = 250;
 const PULL_MILLISECONDS = 1000;
 const LONGEST_PAUSE_MILLISECONDS = 800;
+/** Time between looks at whether this host must watch. */
+const LOOK_MILLISECONDS = 100;
+/** Looks in a row after which a host that need not watch stops. */
+const LOOKS_BEFORE_STOPPING = 10;
+/** Time after an outage in which entries come back. */
+const RETURN_MILLISECONDS = 2000;
 
 /** Creates the source of one kind; it holds nothing until it runs. */
 export function createSource(options: SourceOptions): Source {
-  const { kind, store, clock, logger, onView, onRegained = () => {} } = options;
-  let view: ObjectView<unknown> = new Map();
+  const { kind, store, clock, logger, watchersBefore, onView, onChanges } = options;
+  const { onRegained = () => {} } = options;
+  let view = new Map<string, StoredObject>();
   let changedAt = 0;
   let failing = false;
   let pulling = false;
-  let checkedAt = 0;
-  let renewal = new AbortController();
+  let sinceAnswer: Stopwatch | undefined;
+  let sinceRegained: Stopwatch | undefined;
 
-  const take = (next: ObjectView<unknown>, version: number): void => {
+  const watches = (): boolean => sinceAnswer !== undefined && sinceAnswer() < SILENT_MILLISECONDS;
+  const mustWatch = (): boolean => changedAt === 0 || watchersBefore(kind) < WATCHERS;
+
+  const replace = (next: ObjectView<unknown>, version: number): void => {
+    if (version < changedAt) return;
     view = new Map(next);
-    changedAt = Math.max(changedAt, version);
+    changedAt = version;
     onView(view);
   };
 
+  const apply = (changes: readonly ObjectChange[], version: number): void => {
+    changes.forEach(({ name, version: changed, value }) => {
+      if ((view.get(name)?.version ?? 0) > changed) return;
+      if (value === undefined) view.delete(name);
+      else view.set(name, { name, version: changed, value });
+    });
+    changedAt = version;
+    onView(view);
+  };
+
+  const noteRegained = (): void => {
+    sinceRegained = startSlowStopwatch(clock);
+    onRegained();
+  };
+
   const pull = async (link: Link): Promise<void> => {
     if (pulling) return;
     pulling = true;
     try {
       const body: PullMessage = { kind };
       const answer = await link.request<PullAnswer>(MESSAGE.PULL, body, PULL_MILLISECONDS);
-      if (!failing || answer.changedAt <= changedAt) return;
+      if (answer.changedAt <= changedAt) return;
       logger.info('objects taken from another host', {
         kind,
         from: link.peer.host,
         version: answer.changedAt,
+        before: changedAt,
       });
-      take(new Map(answer.objects.map((object) => [object.name, object])), answer.changedAt);
+      if (answer.afterOutage) onRegained();
+      replace(new Map(answer.objects.map((object) => [object.name, object])), answer.changedAt);
     } catch (error) {
       logger.warn('another host gave no objects', { kind, error: messageOf(error) });
     } finally {
@@ -73,52 +114,80 @@
     }
   };
 
-  const refresh = (why: string): void => {
-    logger.info('objects are read anew', { kind, why, version: changedAt });
-    renewal.abort(new Error(why));
+  const onFailure = (error: unknown): void => {
+    if (!failing) logger.warn('store lost', { kind, version: changedAt, error: messageOf(error) });
+    failing = true;
+    sinceAnswer = undefined;
   };
 
-  const checkBehind = (version: number): void => {
-    checkedAt = version;
-    clock.after(BEHIND_MILLISECONDS, () => {
-      if (changedAt < version && !failing) refresh('another host saw a later change');
+  const onAnswer = (): void => {
+    sinceAnswer = startSlowStopwatch(clock);
+    if (!failing) return;
+    failing = false;
+    logger.info('store regained', { kind, version: changedAt });
+    noteRegained();
+  };
+
+  const watchStore = (signal: AbortSignal): Promise<void> =>
+    followKind<unknown>({
+      store,
+      clock,
+      kind,
+      signal,
+      watchSeconds: WATCH_SECONDS,
+      longestPauseMilliseconds: LONGEST_PAUSE_MILLISECONDS,
+      onAnswer,
+      onFailure,
+      onChanges: (changes, version) => {
+        if (version > changedAt) onChanges({ kind, since: changedAt, changedAt: version, changes });
+      },
+      onView: (next, version) => replace(next, version.changedAt),
     });
+
+  /** Aborts once this host has not had to watch for a while. */
+  const untilNeedless = (signal: AbortSignal): AbortSignal => {
+    const needless = new AbortController();
+    let looks = 0;
+    const look = (): void => {
+      if (signal.aborted || needless.signal.aborted) return;
+      looks = mustWatch() ? 0 : looks + 1;
+      if (looks >= LOOKS_BEFORE_STOPPING) needless.abort(new Error('other hosts watch'));
+      else clock.after(LOOK_MILLISECONDS, look);
+    };
+    look();
+    return AbortSignal.any([signal, needless.signal]);
   };
 
   return {
     kind,
     changedAt: () => changedAt,
+    watches,
+    take: (link, message) => {
+      if (message.changedAt <= changedAt) return;
+      if (message.since > changedAt) pull(link).catch(() => {});
+      else apply(message.changes, message.changedAt);
+    },
     hear: (link, version) => {
       if (version <= changedAt) return;
-      if (failing) pull(link).catch(() => {});
-      else if (version > checkedAt && changedAt > 0) checkBehind(version);
+      clock.after(BEHIND_MILLISECONDS, () => {
+        if (version > changedAt) pull(link).catch(() => {});
+      });
     },
-    snapshot: () => ({ changedAt, objects: [...view.values()] }),
-    refresh,
-    run: (signal) =>
-      followKind<unknown>({
-        store,
-        clock,
-        kind,
-        signal,
-        watchSeconds: WATCH_SECONDS,
-        longestPauseMilliseconds: LONGEST_PAUSE_MILLISECONDS,
-        renew: () => {
-          renewal = new AbortController();
-          return renewal.signal;
-        },
-        onView: (next, version) => take(next, version.changedAt),
-        onAnswer: () => {
-          if (!failing) return;
+    snapshot: () => ({
+      changedAt,
+      objects: [...view.values()],
+      afterOutage: sinceRegained !== undefined && sinceRegained() < RETURN_MILLISECONDS,
+    }),
+    run: async (signal) => {
+      while (!signal.aborted) {
+        /* eslint-disable no-await-in-loop -- this host watches, or looks whether it must */
+        if (mustWatch()) {
+          await watchStore(untilNeedless(signal));
+          sinceAnswer = undefined;
           failing = false;
-          logger.info('store regained', { kind });
-          onRegained();
-        },
-        onFailure: (error) => {
-          if (renewal.signal.aborted) return;
-          if (!failing) logger.warn('store lost', { kind, error: messageOf(error) });
-          failing = true;
-        },
-      }),
+        } else await clock.delay(LOOK_MILLISECONDS, signal);
+        /* eslint-enable no-await-in-loop */
+      }
+    },
   };
 }
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -47,8 +47,10 @@
   readonly profile: (service: string) => EngineProfile | undefined;
   readonly demand: Demand;
   readonly inUse: (server: string, model: string) => boolean;
-  /** Called with when wanted models will be ready, after each plan. */
-  readonly onOutlook?: (outlook: readonly Outlook[]) => void;
+  /** Called after each plan with when wanted models will be ready, and the hosts that wait. */
+  readonly onOutlook?: (outlook: readonly Outlook[], hosts: readonly string[]) => void;
+  /** Called before a server is told to unload a model. */
+  readonly onUnloading?: (server: string, model: string) => void;
 }
 
 /** Time between plans without news. */
@@ -57,6 +59,8 @@
 const UNLOAD_RETRY_MILLISECONDS = [8, 15, 30, 60, 120, 240, 480, 960] as const;
 /** Time beyond the expected one after which a server is asked whether the load is done. */
 const OVERDUE_MILLISECONDS = 400;
+/** Time in which the other hosts learn of an unload before the server does. */
+const ANNOUNCE_MILLISECONDS = 4;
 const WINDOW_MILLISECONDS = 5000;
 /** Loads that the weight store serves at full speed. */
 const COLD_LOADS_AT_ONCE = 4;
@@ -65,7 +69,7 @@
 /** Creates the commander of one host; it gives no order while it has no fencing number. */
 export function createCommander(options: CommanderOptions): Commander {
   const { clock, control, logger, fencing, profile, demand, inUse } = options;
-  const { onOutlook = () => {} } = options;
+  const { onOutlook = () => {}, onUnloading = () => {} } = options;
   const issue = createIssuer(options);
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
@@ -156,6 +160,8 @@
   };
 
   const unload = async (book: ServerBook, model: string): Promise<boolean> => {
+    onUnloading(book.entry.id, model);
+    await clock.delay(ANNOUNCE_MILLISECONDS);
     const outcome = await issue(book, { operation: OPERATION.UNLOAD, model });
     if (outcome === ORDER_OUTCOME.HOLDS) book.models.delete(model);
     if (outcome === ORDER_OUTCOME.ACCEPTED) {
@@ -288,7 +294,7 @@
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
     outlook = engines.flatMap((service) => planService(service, wants));
-    if (outlook.length > 0) onOutlook(outlook);
+    if (outlook.length > 0) onOutlook(outlook, [...wantsByHost.keys()]);
   };
 
   /** Plans once for all news of this turn of the event loop. */
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -61,8 +61,13 @@
 const UNLOAD_MILLISECONDS = 20;
 /** Time that running requests take to end on average, before their model can make way. */
 const IN_USE_MILLISECONDS = 1000;
-/** Weight of a victim's credit rate against the wait for the load, in milliseconds per credit/s. */
-const EVICTION_MILLISECONDS = 60;
+/**
+ * Delay that an eviction causes for each request a second to the victim, in milliseconds: about
+ * 1.3 s until it is back, in which requests wait for that long.
+ */
+const EVICTION_MILLISECONDS = 2000;
+/** Delay that a request which is not served counts as, in milliseconds. */
+const MISSED_MILLISECONDS = 10_000;
 /** A model that was asked for this recently is kept before others with the same credit. */
 const RECENT_MILLISECONDS = 30_000;
 
@@ -151,7 +156,11 @@
     return kept.length === 1 ? victims.filter((victim) => victim !== kept[0]) : victims;
   };
 
-  const weigh = (server: PlannedServer, model: ModelProfile): Candidate | undefined => {
+  const weigh = (
+    server: PlannedServer,
+    model: ModelProfile,
+    count: number,
+  ): Candidate | undefined => {
     const { busyMilliseconds } = occupancy.get(server.id)!;
     const { time, cold } = loadMilliseconds(server, model);
     if (cold && coldLoads < 1) return undefined;
@@ -163,19 +172,20 @@
     );
     const readyMilliseconds = busyMilliseconds + unloading + time;
     const lost = victims.reduce((sum, victim) => sum + worthOf(victim), 0);
+    if (lost * EVICTION_MILLISECONDS > count * MISSED_MILLISECONDS) return undefined;
     return {
       server,
       victims,
       readyMilliseconds,
       cold,
-      cost: readyMilliseconds + lost * EVICTION_MILLISECONDS,
+      cost: readyMilliseconds * count + lost * EVICTION_MILLISECONDS,
     };
   };
 
   const place = (want: Want): PlannedLoad[] => {
     const model = profile.models.get(want.model);
     if (!model) return [];
-    const candidates = servers.flatMap((server) => weigh(server, model) ?? []);
+    const candidates = servers.flatMap((server) => weigh(server, model, want.count) ?? []);
     if (candidates.length === 0) return [];
     const best = candidates.reduce((a, b) => (b.cost < a.cost ? b : a));
     const state = occupancy.get(best.server.id)!;
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -10,6 +10,7 @@
   readonly excluded: ReadonlySet<string>;
   /** By the monotonic clock. */
   readonly now: number;
+  readonly holdsModel: (state: ServerState, model: string) => boolean;
   readonly holdsAdapter: (state: ServerState, model: string, adapter: string) => boolean;
   /** From 0 up to but not including 1. */
   readonly random: () => number;
@@ -72,17 +73,13 @@
   return cost;
 }
 
-/** Tells whether a server takes new work for a request. */
-export function canServe({ entry }: ServerState, need: ModelNeed | undefined): boolean {
-  if (entry.leaving) return false;
-  return need === undefined || entry.models.some(({ name }) => name === need.model);
-}
-
 /** Chooses the server with the least expected delay; one that failed lately only if it must be. */
 export function chooseServer(input: ChoiceInput): ServerState | undefined {
   const { candidates, need, excluded, now, random } = input;
   const able = candidates.filter(
-    (state) => canServe(state, need) && !excluded.has(state.entry.id),
+    (state) =>
+      !excluded.has(state.entry.id) &&
+      (need ? input.holdsModel(state, need.model) : !state.entry.leaving),
   );
   const trusted = able.filter(({ avoidUntil }) => avoidUntil <= now);
   let best: ServerState | undefined;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -18,7 +18,7 @@
   type SendCall,
   type ServerLoad,
 } from './call.js';
-export { canServe, chooseServer, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
+export { chooseServer, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
 export { createEventSplitter, type EventSplitter } from './events.js';
 export { createServingMetrics, type ServingMetrics } from './metrics.js';
 export {
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -22,7 +22,7 @@
   type Reply,
   type SendCall,
 } from './call.js';
-import { canServe, chooseServer, partKey } from './choose.js';
+import { chooseServer, partKey } from './choose.js';
 import type { ServingMetrics } from './metrics.js';
 import {
   ANSWER_FAULT,
@@ -141,6 +141,7 @@
       failureDomain,
       excluded: allowTried ? new Set() : tried,
       now: clock.monotonic(),
+      holdsModel: servers.holdsModel,
       holdsAdapter: servers.holdsAdapter,
       random,
     });
@@ -148,8 +149,7 @@
   /** Waits until a server holds the request's model. */
   const awaitModel = async (work: Work<SomeCall>, { model }: ModelNeed): Promise<void> => {
     const { admitted, signal } = work;
-    const { need } = work.call;
-    if (servers.of(admitted.service).some((state) => canServe(state, need))) return;
+    if (servers.of(admitted.service).some((state) => servers.holdsModel(state, model))) return;
     const since = startStopwatch(clock);
     const remainingMilliseconds = work.remainingMilliseconds();
     const waited = admitted.route.timeoutMilliseconds - remainingMilliseconds;
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -18,6 +18,8 @@
   load?: ServerLoad & { readonly at: number };
   /** Adapters that were loaded after the entry was written, with the moment. */
   readonly adapters: Map<string, number>;
+  /** Models that the server was told to unload, with the moment. */
+  readonly unloading: Map<string, number>;
   /** Prompt parts that this host has sent there, with the moment. */
   readonly parts: Map<string, number>;
 }
@@ -33,12 +35,18 @@
   /** Keeps requests away from a server for a while. */
   avoid(state: ServerState, milliseconds: number): void;
   holdsAdapter(state: ServerState, model: string, adapter: string): boolean;
+  /** Notes that a server was told to unload a model. */
+  noteUnloading(id: string, model: string): void;
+  /** Tells whether a server takes new work for a model. */
+  holdsModel(state: ServerState, model: string): boolean;
 }
 
 /** Weight of one request in the part that fails. */
 const FAILING_WEIGHT = 0.2;
 /** Time after which an adapter must stand in the server's own entry: three heartbeats. */
 const ADAPTER_MILLISECONDS = 4000;
+/** Time after which a model that is still in the server's entry was not unloaded. */
+const UNLOADING_MILLISECONDS = 2500;
 
 /** Creates the states; there are no servers at first. */
 export function createServerStates(clock: Clock): ServerStates {
@@ -53,9 +61,17 @@
     failing: 0,
     avoidUntil: 0,
     adapters: new Map(),
+    unloading: new Map(),
     parts: new Map(),
   });
 
+  /** A model that was unloaded may be loaded again. */
+  const forgetUnloaded = ({ entry, unloading }: ServerState): void => {
+    [...unloading.keys()].forEach((model) => {
+      if (!entry.models.some(({ name }) => name === model)) unloading.delete(model);
+    });
+  };
+
   return {
     update: (servers) => {
       [...states.keys()].forEach((id) => {
@@ -63,7 +79,10 @@
       });
       servers.forEach((entry, id) => {
         const known = states.get(id);
-        if (known?.entry.born === entry.born) known.entry = entry;
+        if (known?.entry.born === entry.born) {
+          known.entry = entry;
+          forgetUnloaded(known);
+        }
         else states.set(id, open(entry));
       });
       byService = new Map();
@@ -84,6 +103,14 @@
       const noted = state;
       noted.avoidUntil = clock.monotonic() + milliseconds;
     },
+    noteUnloading: (id, model) => {
+      states.get(id)?.unloading.set(model, clock.monotonic());
+    },
+    holdsModel: ({ entry, unloading }, model) => {
+      if (entry.leaving || !entry.models.some(({ name }) => name === model)) return false;
+      const toldAt = unloading.get(model);
+      return toldAt === undefined || clock.monotonic() - toldAt > UNLOADING_MILLISECONDS;
+    },
     holdsAdapter: (state, model, adapter) => {
       const loadedAt = state.adapters.get(`${model}/${adapter}`);
       if (loadedAt !== undefined && clock.monotonic() - loadedAt < ADAPTER_MILLISECONDS) return true;
--- a/packages/store/src/follow.ts
+++ b/packages/store/src/follow.ts
@@ -1,12 +1,12 @@
 import type { Clock } from '@bulrushspar/clock';
-import type { ObjectStore, StoredObject, Version } from './store.js';
+import type { ObjectChange, ObjectStore, StoredObject, Version } from './store.js';
 
 /** All objects of a kind, by name. */
 export type ObjectView<Value> = ReadonlyMap<string, StoredObject<Value>>;
 
 /** How new a view is. */
 export interface ViewVersion {
-  /** Highest version of an object in the view or in what changed it. */
+  /** Version of the store when the view was read or last changed. */
   readonly changedAt: Version;
 }
 
@@ -24,8 +24,8 @@
   /** Called after each call that was not answered. */
   readonly onFailure?: (error: unknown) => void;
   readonly signal: AbortSignal;
-  /** Called before each watch; aborting the signal that it returns reads the list anew. */
-  readonly renew?: () => AbortSignal;
+  /** Called with the changes of each watch that brought any, before the view they lead to. */
+  readonly onChanges?: (changes: readonly ObjectChange<Value>[], version: Version) => void;
   /** Longest wait of one watch call, in seconds. */
   readonly watchSeconds?: number;
   /** Pause after a failed call, in milliseconds; it doubles with each failure in a row. */
@@ -33,9 +33,6 @@
   readonly longestPauseMilliseconds?: number;
 }
 
-const highest = (objects: readonly { readonly version: Version }[]): Version =>
-  objects.reduce((most, { version }) => Math.max(most, version), 0);
-
 interface Cursor<Value> {
   readonly version: Version;
   readonly view: Map<string, StoredObject<Value>>;
@@ -45,7 +42,7 @@
   const list = await options.store.list<Value>(options.kind);
   const view = new Map(list.objects.map((object) => [object.name, object]));
   options.onAnswer?.();
-  options.onView(view, { changedAt: highest(list.objects) });
+  options.onView(view, { changedAt: list.version });
   return { version: list.version, view };
 }
 
@@ -53,8 +50,7 @@
   options: FollowOptions<Value>,
   cursor: Cursor<Value>,
 ): Promise<Cursor<Value> | undefined> {
-  const { store, kind, watchSeconds = 20, renew } = options;
-  const signal = renew ? AbortSignal.any([options.signal, renew()]) : options.signal;
+  const { store, kind, watchSeconds = 20, signal } = options;
   const answer = await store.watch<Value>(kind, cursor.version, watchSeconds, signal);
   options.onAnswer?.();
   if (answer.expired) return undefined;
@@ -62,7 +58,8 @@
     if (value === undefined) cursor.view.delete(name);
     else cursor.view.set(name, { name, version, value });
   });
-  if (answer.changes.length > 0) options.onView(cursor.view, { changedAt: highest(answer.changes) });
+  if (answer.changes.length > 0) options.onChanges?.(answer.changes, answer.version);
+  if (answer.changes.length > 0) options.onView(cursor.view, { changedAt: answer.version });
   return { version: answer.version, view: cursor.view };
 }
 
