Hand the duty of giving orders over as soon as its holder has given up

Change: a holder without confirmed renewals gives up and says so; the others need not wait out its term, and the pause between the two counts from its last order.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -233,6 +233,7 @@
     configuration: () => configuration,
     inUse: gossip.inUse,
     handoverMilliseconds: bounds.handoverMilliseconds,
+    othersReachStore: gossip.othersReachStore,
     rank: () => links().filter(({ peer }) => peer.host < host.name).length,
     onOutlook: (outlook, waiting) => {
       takeOutlook(outlook);
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -17,6 +17,8 @@
   forget(host: string): void;
   /** Tells whether requests of any host run with a model on a server. */
   inUse(server: string, model: string): boolean;
+  /** Tells whether the store answers another host that this one hears. */
+  othersReachStore(): boolean;
   /** Hosts with a better rank that watch a kind in the store. */
   watchersBefore(kind: string): number;
 }
@@ -78,7 +80,7 @@
         taken: quotas.taken(),
         running: ownRunning(),
         asked,
-        leads: duty().leads(),
+        orders: duty().describe(),
         seen: Object.fromEntries(sources().map((source) => [source.kind, source.changedAt()])),
         watches: sources()
           .filter((source) => source.watches())
@@ -93,7 +95,7 @@
       running.set(peer.host, state.running);
       recount();
       Object.entries(state.asked).forEach(([model, credit]) => demand.note(model, credit));
-      duty().hear(peer.host, state.leads);
+      duty().hear(peer.host, state.orders);
       watching.set(peer.host, { kinds: state.watches, since: startSlowStopwatch(clock) });
       sources().forEach((source) => source.hear(link, state.seen[source.kind] ?? 0));
     },
@@ -106,6 +108,10 @@
       watching.delete(host);
       recount();
     },
+    othersReachStore: () =>
+      [...watching.values()].some(
+        ({ kinds, since }) => kinds.length > 0 && since() < WATCHING_MILLISECONDS,
+      ),
     watchersBefore: (kind) =>
       [...watching].filter(
         ([host, { kinds, since }]) =>
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -22,6 +22,15 @@
   SUSPECT: 'suspect',
 } as const;
 
+/** What a host says about its lease to give orders. */
+export interface OrderLease {
+  readonly fencing: number;
+  /** The host gives no more orders under this fencing number. */
+  readonly over: boolean;
+  /** Milliseconds since the host's last order; absent where it gave none. */
+  readonly sinceOrder?: number;
+}
+
 /** Body of {@link MESSAGE.STATE}. */
 export interface HostState {
   /** Quota taken since the start of the host, by workspace. */
@@ -30,8 +39,8 @@
   readonly running: Readonly<Record<string, Readonly<Record<string, number>>>>;
   /** Credit asked for since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
-  /** Fencing number of the host's lease to give orders, if it holds it. */
-  readonly leads?: number;
+  /** The host's lease to give orders, if it holds it or held it last. */
+  readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
   readonly seen: Readonly<Record<string, number>>;
   /** Kinds that the host watches in the store, and whose watch was answered lately. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -1,5 +1,5 @@
 import type { FleetConfiguration, ServerView } from '@bulrushspar/catalogue';
-import { startSlowStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
+import { every, startSlowStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { createLease } from '@bulrushspar/lease';
 import {
   createCommander,
@@ -10,14 +10,15 @@
 } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Incarnation, ObjectStore } from '@bulrushspar/store';
+import type { OrderLease } from './messages.js';
 
 /** The duty of giving orders to the servers, which one host has at a time. */
 export interface OrderDuty {
   readonly commander: Commander;
-  /** Fencing number of this host's lease, if it holds it. */
-  leads(): number | undefined;
-  /** Notes which host says that it gives the orders. */
-  hear(host: string, fencing: number | undefined): void;
+  /** What this host tells the others about its lease. */
+  describe(): OrderLease | undefined;
+  /** Takes what another host says about its lease. */
+  hear(host: string, lease: OrderLease | undefined): void;
   /** The host that gives the orders, this one included, as far as is known. */
   leader(): string | undefined;
   setServers(servers: ServerView): void;
@@ -42,29 +43,49 @@
   readonly handoverMilliseconds: number;
   /** Place of this host among those that contend, so that not all do at once. */
   readonly rank: () => number;
+  /** Tells whether the store answers other hosts that this one hears. */
+  readonly othersReachStore: () => boolean;
 }
 
 /** Time for which one renewal lasts; short, since nobody loads models until it has passed. */
 const TERM_MILLISECONDS = 2000;
+/**
+ * Time without a confirmed renewal after which a holder that others can replace gives up: two
+ * renewals. Waiting for the end of the term would leave the servers without orders for longer.
+ */
+const UNCONFIRMED_MILLISECONDS = 1100;
 /** Time without word from the giver of orders after which others contend. */
 const SILENT_MILLISECONDS = 700;
 const RANK_MILLISECONDS = 200;
+const LOOK_MILLISECONDS = 100;
 
-interface Heard {
+interface Heard extends OrderLease {
   readonly host: string;
-  readonly fencing: number;
   readonly since: Stopwatch;
 }
 
 /** Creates the duty of one host; it gives no order until it runs and holds the lease. */
 export function createOrderDuty(options: OrderDutyOptions): OrderDuty {
-  const { store, clock, logger, self, control, demand, configuration, inUse } = options;
-  const { onOutlook, onUnloading, handoverMilliseconds, rank } = options;
-  let heard: Heard | undefined;
-  let heldSince: Stopwatch | undefined;
+  const { store, clock, logger, self, demand, configuration, inUse } = options;
+  const { onOutlook, onUnloading, handoverMilliseconds, rank, othersReachStore } = options;
+  /** What each host last said of its lease. */
+  const heard = new Map<string, Heard>();
+  let told: OrderLease | undefined;
+  let sinceOrder: Stopwatch | undefined;
 
-  const othersLead = (): boolean =>
-    heard !== undefined && heard.since() < SILENT_MILLISECONDS + rank() * RANK_MILLISECONDS;
+  const newest = (): Heard | undefined => {
+    let found: Heard | undefined;
+    heard.forEach((one) => {
+      if (!found || one.fencing > found.fencing) found = one;
+    });
+    return found;
+  };
+
+  const othersLead = (): boolean => {
+    const found = newest();
+    if (!found || found.over) return false;
+    return found.since() < SILENT_MILLISECONDS + rank() * RANK_MILLISECONDS;
+  };
 
   const lease = createLease({
     store,
@@ -72,9 +93,18 @@
     name: 'orders',
     self,
     termMilliseconds: TERM_MILLISECONDS,
+    handoverMilliseconds,
     contends: () => !othersLead(),
+    isAbandoned: (fencing) => {
+      const found = newest();
+      return found !== undefined && found.over && found.fencing === fencing;
+    },
+    sinceFormerAct: (host, fencing) => {
+      const found = heard.get(host);
+      if (!found?.over || found.fencing !== fencing) return undefined;
+      return found.sinceOrder === undefined ? Infinity : found.sinceOrder + found.since();
+    },
     onChange: (held) => {
-      heldSince = held ? startSlowStopwatch(clock) : undefined;
       logger.info(held ? 'lease for orders taken' : 'lease for orders lost', {
         fencing: lease.held(),
         former: lease.former(),
@@ -82,21 +112,36 @@
     },
   });
 
-  /** The servers must not hear two hosts within the time of a handover. */
-  const mayOrder = (): boolean => {
-    if (!heldSince) return false;
-    const former = lease.former();
-    return former === undefined || former === self.host || heldSince() >= handoverMilliseconds;
+  const control: EngineControl = {
+    report: options.control.report,
+    order: (server, order) => {
+      sinceOrder = startSlowStopwatch(clock);
+      return options.control.order(server, order);
+    },
   };
 
-  const fencing = (): number | undefined => (mayOrder() ? lease.held() : undefined);
+  /** Gives up the duty where the store no longer answers this host but others. */
+  const stopLook = every(clock, LOOK_MILLISECONDS, () => {
+    const fencing = lease.held();
+    if (fencing === undefined || lease.sinceRenewed() < UNCONFIRMED_MILLISECONDS) return;
+    if (!othersReachStore()) return;
+    logger.warn('lease for orders given up', { fencing, sinceRenewed: lease.sinceRenewed() });
+    lease.abandon();
+  });
+
+  const describe = (): OrderLease | undefined => {
+    const fencing = lease.held();
+    if (fencing !== undefined) told = { fencing, over: false };
+    else if (told) told = { ...told, over: true };
+    return told && { ...told, ...(sinceOrder ? { sinceOrder: Math.round(sinceOrder()) } : {}) };
+  };
 
   const commander = createCommander({
     clock,
     control,
     logger,
     holder: self.host,
-    fencing,
+    fencing: lease.acts,
     profile: (service) => configuration()?.services.get(service)?.engine,
     demand,
     inUse,
@@ -106,22 +151,19 @@
 
   return {
     commander,
-    leads: lease.held,
-    hear: (host, number) => {
-      if (number === undefined) {
-        if (heard?.host === host) heard = undefined;
-        return;
-      }
-      if (heard && heard.fencing > number && heard.since() < TERM_MILLISECONDS) return;
-      heard = { host, fencing: number, since: startSlowStopwatch(clock) };
+    describe,
+    hear: (host, state) => {
+      if (state) heard.set(host, { ...state, host, since: startSlowStopwatch(clock) });
     },
     leader: () => {
       if (lease.held() !== undefined) return self.host;
-      return heard && heard.since() < TERM_MILLISECONDS ? heard.host : undefined;
+      const found = newest();
+      return found && !found.over && found.since() < TERM_MILLISECONDS ? found.host : undefined;
     },
     setServers: commander.setServers,
     run: async (signal) => {
       await lease.run(signal);
+      stopLook();
       commander.stop();
     },
   };
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -30,8 +30,20 @@
    * @returns the fencing number of the act, or undefined
    */
   held(): number | undefined;
+  /**
+   * Fencing number if the duty is held and the handover from another host is over. To be asked
+   * instead of held where the doers must not follow each other too closely.
+   */
+  acts(): number | undefined;
   /** Host that had the duty before this one; undefined where there was none. */
   former(): string | undefined;
+  /** Milliseconds since the last renewal that the store has confirmed; infinite without the duty. */
+  sinceRenewed(): number;
+  /**
+   * Ends the duty at once, without a word to the store, so that the process may tell the others.
+   * It does not take the duty up again under the same fencing number.
+   */
+  abandon(): void;
   /** Contends and renews until the signal, then gives the lease back. */
   run(signal: AbortSignal): Promise<void>;
 }
@@ -45,8 +57,14 @@
   /** Tells whether this process contends; read anew at each turn. */
   readonly contends?: () => boolean;
   readonly onChange?: (held: boolean) => void;
+  /** Tells whether the holder with a fencing number has said itself that its duty is over. */
+  readonly isAbandoned?: (fencing: number) => boolean;
   /** Time for which one renewal lasts, in milliseconds. */
   readonly termMilliseconds?: number;
+  /** Pause between the last act of one host and the first of another, in milliseconds. */
+  readonly handoverMilliseconds?: number;
+  /** Milliseconds since the last act of the former host, where it has told. */
+  readonly sinceFormerAct?: (former: string, fencing: number) => number | undefined;
 }
 
 /** Kind of the lease records; named by duty. */
@@ -54,7 +72,7 @@
 
 const RENEWALS_PER_TERM = 4;
 /** Terms for which a contender must see no renewal; more than one, for clocks that drift. */
-const QUIET_TERMS = 1.5;
+const QUIET_TERMS = 1.25;
 
 interface Sighting {
   readonly version: Version;
@@ -70,7 +88,8 @@
  */
 export function createLease(options: LeaseOptions): Lease {
   const { store, clock, name, self, contends = () => true, onChange = () => {} } = options;
-  const { termMilliseconds = 8000 } = options;
+  const { termMilliseconds = 8000, isAbandoned = () => false } = options;
+  const { handoverMilliseconds = 0, sinceFormerAct = () => undefined } = options;
   const key = { kind: LEASE_KIND, name };
   const turnMilliseconds = termMilliseconds / RENEWALS_PER_TERM;
   let renewed:
@@ -79,10 +98,20 @@
   let sighting: Sighting | undefined;
   let told = false;
   let formerHost: string | undefined;
+  let formerFencing = 0;
+  let abandoned: number | undefined;
+  let sinceTaken: Stopwatch | undefined;
 
   const held = (): number | undefined =>
     renewed && renewed.since() < termMilliseconds ? renewed.fencing : undefined;
 
+  /** Another host may have acted so lately that this one must wait. */
+  const inHandover = (): boolean => {
+    if (formerHost === undefined || formerHost === self.host || !sinceTaken) return false;
+    const since = sinceFormerAct(formerHost, formerFencing) ?? sinceTaken();
+    return Math.max(since, sinceTaken()) < handoverMilliseconds;
+  };
+
   const tell = (): void => {
     const now = held() !== undefined;
     if (now !== told) onChange(now);
@@ -103,7 +132,8 @@
       isOurs: ({ token }) => token === value.token,
       withinMilliseconds: turnMilliseconds,
     });
-    if (settled.outcome === SETTLED.WRITTEN && isSelf(record.holder)) {
+    const resigned = record.fencing === abandoned;
+    if (settled.outcome === SETTLED.WRITTEN && isSelf(record.holder) && !resigned) {
       renewed = { since, fencing: record.fencing, version: settled.version };
     }
     // Somebody else has written: whatever this process had is over.
@@ -116,22 +146,34 @@
     return sighting.since() > termMilliseconds * QUIET_TERMS;
   };
 
+  /** A process that is restarted during a handover must find out about it. */
+  const renew = (version: Version, fencing: number): Promise<void> =>
+    write(version, {
+      holder: self,
+      fencing,
+      ...(inHandover() ? { former: formerHost } : {}),
+    });
+
   const takeTurn = async (): Promise<void> => {
     if (renewed && held() !== undefined) {
-      await write(renewed.version, { holder: self, fencing: renewed.fencing });
+      await renew(renewed.version, renewed.fencing);
       return;
     }
     const found: StoredObject<LeaseRecord> | undefined = await store.read<LeaseRecord>(key);
     const { version = ABSENT, value = FREE } = found ?? {};
     const { holder, fencing } = value;
-    if (isSelf(holder)) {
-      await write(version, { holder: self, fencing });
+    if (isSelf(holder) && fencing !== abandoned) {
+      await renew(version, fencing);
       return;
     }
     renewed = undefined;
-    const open = holder === undefined || holder.host === self.host || isQuiet(version);
+    const isOver = holder === undefined || holder.host === self.host || isAbandoned(fencing);
+    const open = isOver || isQuiet(version);
     if (!open) return;
-    formerHost = holder?.host ?? value.former;
+    const ownHost = holder?.host === self.host;
+    formerHost = (ownHost ? value.former : undefined) ?? holder?.host ?? value.former;
+    formerFencing = fencing;
+    sinceTaken = startSlowStopwatch(clock);
     await write(version, { holder: self, fencing: fencing + 1, former: formerHost });
   };
 
@@ -144,7 +186,14 @@
 
   return {
     held,
+    acts: () => (inHandover() ? undefined : held()),
     former: () => formerHost,
+    sinceRenewed: () => renewed?.since() ?? Number.POSITIVE_INFINITY,
+    abandon: () => {
+      abandoned = renewed?.fencing ?? abandoned;
+      renewed = undefined;
+      tell();
+    },
     run: async (signal) => {
       while (!signal.aborted) {
         // eslint-disable-next-line no-await-in-loop -- turns follow one another
