Do not load beside an order of the former giver; let adapters wait for a load

Adapters were refused during each load of a model. Change: a busy server without an order of ours is asked again later; adapters wait for the load.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -99,7 +99,8 @@
 const WANTS_MILLISECONDS = 100;
 /** Silence after which a link counts as broken: several states. */
 const LINK_SILENCE_MILLISECONDS = 1200;
-const ADAPTER_MILLISECONDS = 1000;
+/** Longest wait for an adapter: a load that is under way at its server, and the order. */
+const ADAPTER_MILLISECONDS = 2000;
 /** Retry-After of a host that stops: another host takes the request at once. */
 const STOPPING_SECONDS = 0.05;
 
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -37,6 +37,8 @@
 
 /** Time that a loaded model is kept for the requests that waited for it. */
 const FRESH_MILLISECONDS = 700;
+/** Time until a server that carries out another giver's order is asked again. */
+const FOREIGN_ORDER_MILLISECONDS = 250;
 
 const adaptersOf = (entry: Pick<ServerEntry, 'models'>): Map<string, Set<string>> =>
   new Map(entry.models.map(({ name, adapters }) => [name, new Set(adapters)]));
@@ -110,12 +112,19 @@
 
 /** Takes a report that was asked for after the last order had been answered. */
 export function takeReport(book: ServerBook, report: ServerReport, clock: Clock): void {
+  const opened = book;
   if (report.born !== book.entry.born) return;
   if (book.sequence !== undefined && report.sequence < book.sequence) return;
   if (report.sequence !== book.sequence) book.doubtful = [];
   book.sequence = report.sequence;
   const models = adaptersOf(report);
   const { underWay } = book;
+  // An order of an earlier giver is under way; what it loads is not in the report yet.
+  if (report.busy && !underWay) {
+    opened.sequence = undefined;
+    opened.notBefore = clock.monotonic() + FOREIGN_ORDER_MILLISECONDS;
+    return;
+  }
   if (underWay && (report.busy || !showsDone(underWay, models))) return;
   if (underWay) finishOrder(book, clock);
   book.models = models;
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -59,6 +59,9 @@
 const UNLOAD_RETRY_MILLISECONDS = [8, 15, 30, 60, 120, 240, 480, 960] as const;
 /** Time beyond the expected one after which a server is asked whether the load is done. */
 const OVERDUE_MILLISECONDS = 400;
+/** Longest wait of an adapter for a model's load at the same server. */
+const ADAPTER_WAIT_MILLISECONDS = 1500;
+const ADAPTER_LOOK_MILLISECONDS = 15;
 /** Time in which the other hosts learn of an unload before the server does. */
 const ANNOUNCE_MILLISECONDS = 4;
 const WINDOW_MILLISECONDS = 5000;
@@ -219,6 +222,15 @@
     }
   };
 
+  /** Waits for the order under way; a server takes none for an adapter meanwhile. */
+  const untilFree = async (book: ServerBook): Promise<void> => {
+    const until = clock.monotonic() + ADAPTER_WAIT_MILLISECONDS;
+    while ((book.underWay || starting.has(book.entry.id)) && clock.monotonic() < until) {
+      // eslint-disable-next-line no-await-in-loop -- one look after another
+      await clock.delay(ADAPTER_LOOK_MILLISECONDS);
+    }
+  };
+
   const startLoad = (load_: PlannedLoad): void => {
     const book = books.get(load_.server);
     if (!book || starting.has(load_.server)) return;
@@ -325,6 +337,9 @@
     adapterUse.set(`${id} ${model}/${adapter}`, clock.monotonic());
     if (held.has(adapter)) return true;
     const request = { operation: OPERATION.LOAD, model, adapter } as const;
+    await untilFree(book);
+    if (!book.models.has(model)) return false;
+    if (held.has(adapter)) return true;
     if (!hasRoom(book, engine, request) && !(await evictAdapter(book))) return false;
     if (!hasRoom(book, engine, request)) return false;
     const outcome = await issue(book, request);
