--- a/packages/catalogue/src/configuration.ts
+++ b/packages/catalogue/src/configuration.ts
@@ -40,6 +40,8 @@
   readonly timeoutMilliseconds: number;
   /** Time within which an answer, or the first event of a stream, counts as in time. */
   readonly objectiveMilliseconds: number;
+  /** Time after which callers give up that have received nothing. */
+  readonly patienceMilliseconds: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly shares: readonly RouteShare[];
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -1,6 +1,6 @@
 import type { EngineProfile, ServerEntry } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
-import { OPERATION, type Order, type ServerReport } from './engine.js';
+import { OPERATION, type OrderRequest, type ServerReport } from './engine.js';
 import type { PlannedServer } from './plan.js';
 
 /** What the holder of the orders believes of one server. */
@@ -18,11 +18,13 @@
   readonly loadedAt: Map<string, number>;
   /** No order goes out before this moment, by the monotonic clock. */
   notBefore: number;
+  /** When the last order went out, by the monotonic clock. */
+  orderedAt: number;
 }
 
 /** An order that was accepted and is not done yet. */
 export interface UnderWay {
-  readonly order: Order;
+  readonly order: OrderRequest;
   readonly begunAt: number;
   readonly expectedMilliseconds: number;
 }
@@ -37,6 +39,8 @@
 
 /** Time that a loaded model is kept for the requests that waited for it. */
 const FRESH_MILLISECONDS = 700;
+/** Time in which a server's entry follows its last order: a heartbeat and some more. */
+const ENTRY_MILLISECONDS = 2000;
 /** Time until a server that carries out another giver's order is asked again. */
 const FOREIGN_ORDER_MILLISECONDS = 250;
 
@@ -52,6 +56,7 @@
     doubtful: [],
     loadedAt: new Map(),
     notBefore: 0,
+    orderedAt: -Infinity,
   };
 }
 
@@ -110,6 +115,21 @@
   return false;
 }
 
+/**
+ * Trusts a server's entry again once it had time to follow the last order: what it holds then
+ * differs from the book only if the book is wrong, so that the server must be asked.
+ */
+export function checkAgainstEntry(book: ServerBook, clock: Clock): void {
+  const opened = book;
+  if (book.sequence === undefined || book.underWay) return;
+  if (clock.monotonic() - book.orderedAt < ENTRY_MILLISECONDS) return;
+  const models = adaptersOf(book.entry);
+  const same = models.size === book.models.size && [...models.keys()].every((name) => book.models.has(name));
+  if (same) return;
+  opened.models = models;
+  opened.sequence = undefined;
+}
+
 /** Takes a report that was asked for after the last order had been answered. */
 export function takeReport(book: ServerBook, report: ServerReport, clock: Clock): void {
   const opened = book;
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -2,18 +2,19 @@
 import { every, type Clock, type Stop } from '@bulrushspar/clock';
 import { messageOf } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
+import { createAdapterLoader } from './adapters.js';
 import {
-  finishOrder,
+  checkAgainstEntry,
   openBook,
   reopenBook,
   takeEntry,
-  takeReport,
   viewForPlan,
   type ServerBook,
 } from './book.js';
+import { createChanger, loadTime } from './change.js';
 import type { Demand } from './demand.js';
-import { OPERATION, ORDER_OUTCOME, type EngineControl, type OrderOutcome } from './engine.js';
-import { createIssuer, hasRoom, type OrderRequest } from './issue.js';
+import { OPERATION, type EngineControl } from './engine.js';
+import { createIssuer } from './issue.js';
 import { planLoads, type PlannedLoad, type Want } from './plan.js';
 
 /** When a wanted model will be ready. */
@@ -55,15 +56,6 @@
 
 /** Time between plans without news. */
 const PLAN_MILLISECONDS = 100;
-/** Longest wait for an unload whose model has no running requests. */
-const UNLOAD_RETRY_MILLISECONDS = [8, 15, 30, 60, 120, 240, 480, 960] as const;
-/** Time beyond the expected one after which a server is asked whether the load is done. */
-const OVERDUE_MILLISECONDS = 400;
-/** Longest wait of an adapter for a model's load at the same server. */
-const ADAPTER_WAIT_MILLISECONDS = 1500;
-const ADAPTER_LOOK_MILLISECONDS = 15;
-/** Time in which the other hosts learn of an unload before the server does. */
-const ANNOUNCE_MILLISECONDS = 4;
 const WINDOW_MILLISECONDS = 5000;
 /** Loads that the weight store serves at full speed. */
 const COLD_LOADS_AT_ONCE = 4;
@@ -73,16 +65,31 @@
 export function createCommander(options: CommanderOptions): Commander {
   const { clock, control, logger, fencing, profile, demand, inUse } = options;
   const { onOutlook = () => {}, onUnloading = () => {} } = options;
-  const issue = createIssuer(options);
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
   const starting = new Set<string>();
-  const adapterUse = new Map<string, number>();
   let coldBegun: number[] = [];
   let outlook: readonly Outlook[] = [];
   let planned = false;
   let lastToken: number | undefined;
 
+  const issue = createIssuer(options);
+  const changer = createChanger({
+    clock,
+    control,
+    logger,
+    issue,
+    profile,
+    mayOrder: () => fencing() !== undefined,
+    onUnloading,
+    onDone: () => planSoon(),
+  });
+  const adapters = createAdapterLoader({
+    clock,
+    issue,
+    isChanging: ({ underWay, entry }) => underWay !== undefined || starting.has(entry.id),
+  });
+
   const engineOf = (book: ServerBook): EngineProfile | undefined => profile(book.entry.service);
 
   const mergeWants = (): readonly Want[] => {
@@ -110,127 +117,11 @@
     const running = [...books.values()].filter(
       ({ underWay, entry }) =>
         underWay?.order.operation === OPERATION.LOAD &&
-        !entry.inMemory.includes(underWay.order.model) &&
-        !entry.onDisk.includes(underWay.order.model),
+        loadTime(entry, engine, underWay.order.model).cold,
     ).length;
     return Math.min(Math.floor(allowed) - coldBegun.length, COLD_LOADS_AT_ONCE - running);
   };
 
-  const expectedMilliseconds = (book: ServerBook, { model, adapter }: OrderRequest): number => {
-    const known = engineOf(book)?.models.get(model);
-    if (!known || adapter !== undefined) return 0;
-    if (book.entry.inMemory.includes(model)) return known.memoryMilliseconds;
-    if (book.entry.onDisk.includes(model)) return known.diskMilliseconds;
-    return known.coldMilliseconds;
-  };
-
-  const begin = (book: ServerBook, request: OrderRequest, outcome: OrderOutcome): void => {
-    const opened = book;
-    if (outcome === ORDER_OUTCOME.HOLDS) {
-      if (request.operation === OPERATION.LOAD) opened.models.set(request.model, new Set());
-      return;
-    }
-    const expected = expectedMilliseconds(book, request);
-    opened.underWay = {
-      order: {
-        ...request,
-        expectedSequence: book.sequence! - 1,
-        holder: options.holder,
-        fencing: fencing() ?? 0,
-      },
-      begunAt: clock.monotonic(),
-      expectedMilliseconds: expected,
-    };
-    if (request.operation === OPERATION.LOAD) watchLoad(opened, expected);
-  };
-
-  /** Asks a server about a load that it should have reported by now. */
-  const watchLoad = (book: ServerBook, expected: number): void => {
-    const { underWay } = book;
-    clock.after(expected + OVERDUE_MILLISECONDS, () => {
-      if (book.underWay !== underWay || fencing() === undefined) return;
-      control
-        .report(book.entry)
-        .then((report) => takeReport(book, report, clock))
-        .catch((error: unknown) =>
-          logger.warn('server gave no report', { server: book.entry.id, error: messageOf(error) }),
-        )
-        .finally(() => {
-          if (book.underWay === underWay) watchLoad(book, OVERDUE_MILLISECONDS);
-          else planSoon();
-        });
-    });
-  };
-
-  const unload = async (book: ServerBook, model: string): Promise<boolean> => {
-    onUnloading(book.entry.id, model);
-    await clock.delay(ANNOUNCE_MILLISECONDS);
-    const outcome = await issue(book, { operation: OPERATION.UNLOAD, model });
-    if (outcome === ORDER_OUTCOME.HOLDS) book.models.delete(model);
-    if (outcome === ORDER_OUTCOME.ACCEPTED) {
-      begin(book, { operation: OPERATION.UNLOAD, model }, outcome);
-      return true;
-    }
-    return outcome === ORDER_OUTCOME.HOLDS;
-  };
-
-  /** Loads a model as soon as the unload before it is done. */
-  const load = async (book: ServerBook, model: string, afterUnload: boolean): Promise<boolean> => {
-    const request = { operation: OPERATION.LOAD, model } as const;
-    const pauses = afterUnload ? UNLOAD_RETRY_MILLISECONDS : [];
-    for (let attempt = 0; attempt <= pauses.length; attempt += 1) {
-      const engine = engineOf(book);
-      const unloading = book.underWay?.order.operation === OPERATION.UNLOAD;
-      const freed = unloading ? book.models.get(book.underWay!.order.model) : undefined;
-      // The server takes the load only after the unload, so that memory counts as free here.
-      if (freed) book.models.delete(book.underWay!.order.model);
-      const fits = engine !== undefined && hasRoom(book, engine, request);
-      if (freed) book.models.set(book.underWay!.order.model, freed);
-      if (!fits) return false;
-      // eslint-disable-next-line no-await-in-loop -- one try after another
-      const outcome = await issue(book, request);
-      if (outcome === ORDER_OUTCOME.ACCEPTED || outcome === ORDER_OUTCOME.HOLDS) {
-        finishOrder(book, clock);
-        begin(book, request, outcome);
-        return true;
-      }
-      if (outcome !== ORDER_OUTCOME.CONFLICT || attempt === pauses.length) return false;
-      // eslint-disable-next-line no-await-in-loop -- one try after another
-      await clock.delay(pauses[attempt]!);
-    }
-    return false;
-  };
-
-  const start = async (book: ServerBook, { model, victims, cold }: PlannedLoad): Promise<void> => {
-    for (const victim of victims) {
-      // eslint-disable-next-line no-await-in-loop -- a server carries out one order at a time
-      if (!(await unload(book, victim))) return;
-      // eslint-disable-next-line no-await-in-loop -- the next unload waits for this one
-      if (victim !== victims.at(-1)) await untilIdle(book);
-    }
-    if (cold) coldBegun.push(clock.monotonic());
-    await load(book, model, victims.length > 0);
-  };
-
-  const untilIdle = async (book: ServerBook): Promise<void> => {
-    for (const pause of UNLOAD_RETRY_MILLISECONDS) {
-      if (!book.underWay) return;
-      const { model } = book.underWay.order;
-      // eslint-disable-next-line no-await-in-loop -- one look after another
-      await clock.delay(pause);
-      if (!inUse(book.entry.id, model)) finishOrder(book, clock);
-    }
-  };
-
-  /** Waits for the order under way; a server takes none for an adapter meanwhile. */
-  const untilFree = async (book: ServerBook): Promise<void> => {
-    const until = clock.monotonic() + ADAPTER_WAIT_MILLISECONDS;
-    while ((book.underWay || starting.has(book.entry.id)) && clock.monotonic() < until) {
-      // eslint-disable-next-line no-await-in-loop -- one look after another
-      await clock.delay(ADAPTER_LOOK_MILLISECONDS);
-    }
-  };
-
   const startLoad = (load_: PlannedLoad): void => {
     const book = books.get(load_.server);
     if (!book || starting.has(load_.server)) return;
@@ -242,7 +133,9 @@
       readyMilliseconds: Math.round(load_.readyMilliseconds),
       cold: load_.cold,
     });
-    start(book, load_)
+    if (load_.cold) coldBegun.push(clock.monotonic());
+    changer
+      .replace(book, load_.victims, load_.model)
       .catch((error: unknown) =>
         logger.error('load failed', { server: load_.server, error: messageOf(error) }),
       )
@@ -302,6 +195,7 @@
     if (token !== lastToken) books.forEach(reopenBook);
     lastToken = token;
     if (token === undefined) return;
+    books.forEach((book) => checkAgainstEntry(book, clock));
     const wants = mergeWants();
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
@@ -316,34 +210,11 @@
     clock.after(0, plan);
   };
 
-  const evictAdapter = async (book: ServerBook): Promise<boolean> => {
-    const held = [...book.models].flatMap(([model, adapters]) =>
-      [...adapters].map((adapter) => ({ model, adapter })),
-    );
-    const usedAt = ({ model, adapter }: { model: string; adapter: string }): number =>
-      adapterUse.get(`${book.entry.id} ${model}/${adapter}`) ?? 0;
-    const oldest = held.sort((a, b) => usedAt(a) - usedAt(b))[0];
-    if (!oldest) return false;
-    const outcome = await issue(book, { operation: OPERATION.UNLOAD, ...oldest });
-    return outcome === ORDER_OUTCOME.ACCEPTED || outcome === ORDER_OUTCOME.HOLDS;
-  };
-
   const ensureAdapter = async (id: string, model: string, adapter: string): Promise<boolean> => {
     const book = books.get(id);
     const engine = book && engineOf(book);
     if (!book || !engine || fencing() === undefined) return false;
-    const held = book.models.get(model);
-    if (!held) return false;
-    adapterUse.set(`${id} ${model}/${adapter}`, clock.monotonic());
-    if (held.has(adapter)) return true;
-    const request = { operation: OPERATION.LOAD, model, adapter } as const;
-    await untilFree(book);
-    if (!book.models.has(model)) return false;
-    if (held.has(adapter)) return true;
-    if (!hasRoom(book, engine, request) && !(await evictAdapter(book))) return false;
-    if (!hasRoom(book, engine, request)) return false;
-    const outcome = await issue(book, request);
-    return outcome === ORDER_OUTCOME.ACCEPTED || outcome === ORDER_OUTCOME.HOLDS;
+    return adapters.ensure(book, engine, model, adapter);
   };
 
   const stopPlanning: Stop = every(clock, PLAN_MILLISECONDS, () => {
--- a/packages/loading/src/engine.ts
+++ b/packages/loading/src/engine.ts
@@ -6,12 +6,16 @@
 /** One of {@link OPERATION}. */
 export type Operation = (typeof OPERATION)[keyof typeof OPERATION];
 
-/** An order to a server. */
-export interface Order {
+/** What an order asks for. */
+export interface OrderRequest {
   readonly operation: Operation;
   readonly model: string;
   /** Absent where the order concerns the model itself. */
   readonly adapter?: string;
+}
+
+/** An order to a server. */
+export interface Order extends OrderRequest {
   /** Orders that the server must have accepted so far; it refuses the order otherwise. */
   readonly expectedSequence: number;
   readonly holder: string;
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -7,17 +7,10 @@
   OPERATION,
   ORDER_OUTCOME,
   type EngineControl,
-  type Operation,
   type OrderOutcome,
+  type OrderRequest,
 } from './engine.js';
 
-/** What an order asks for, before it is numbered. */
-export interface OrderRequest {
-  readonly operation: Operation;
-  readonly model: string;
-  readonly adapter?: string;
-}
-
 /** Options of {@link createIssuer}. */
 export interface IssuerOptions {
   readonly clock: Clock;
@@ -102,6 +95,7 @@
     const token = fencing();
     if (token === undefined || book.sequence === undefined) return ORDER_OUTCOME.REJECTED;
     const begun = clock.monotonic();
+    Object.assign(book, { orderedAt: begun });
     const expectedSequence = book.sequence;
     const outcome = await control.order(book.entry, {
       ...request,
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -68,6 +68,10 @@
 const EVICTION_MILLISECONDS = 2000;
 /** Delay that a request which is not served counts as, in milliseconds. */
 const MISSED_MILLISECONDS = 10_000;
+/** What an eviction costs beside the requests to the victim: an order and its time. */
+const UNLOAD_COST = 0.02;
+/** Cost of a victim with running requests, which hold the load up. */
+const IN_USE_COST = 0.5;
 /** A model that was asked for this recently is kept before others with the same credit. */
 const RECENT_MILLISECONDS = 30_000;
 
@@ -131,29 +135,37 @@
     return (wanted.has(name) ? rate * 2 + 1 : rate) + recency;
   };
 
+  /** The models whose loss costs least among those that make enough room together. */
   const chooseVictims = (
     server: PlannedServer,
     model: ModelProfile,
   ): readonly PlannedModel[] | undefined => {
     const { models } = occupancy.get(server.id)!;
     const used = models.reduce((sum, resident) => sum + megabytesOf(profile, resident), 0);
-    let missing =
-      used + server.doubtfulMegabytes + model.megabytes - profile.weightsMegabytes;
-    const order = models
+    const missing = used + server.doubtfulMegabytes + model.megabytes - profile.weightsMegabytes;
+    const removable = models
       .filter(({ fresh }) => !fresh)
-      .sort((a, b) => worthOf(a) - worthOf(b));
-    const victims: PlannedModel[] = [];
-    for (const resident of order) {
-      if (missing <= 0) break;
-      victims.push(resident);
-      missing -= megabytesOf(profile, resident);
-    }
-    if (missing > 0) return undefined;
-    // One that alone makes enough room spares the smaller ones chosen before it.
-    const last = victims.at(-1);
-    const spare = last ? -missing : 0;
-    const kept = victims.slice(0, -1).filter((victim) => megabytesOf(profile, victim) <= spare);
-    return kept.length === 1 ? victims.filter((victim) => victim !== kept[0]) : victims;
+      .map((resident) => ({
+        resident,
+        frees: megabytesOf(profile, resident),
+        cost: worthOf(resident) + UNLOAD_COST + (resident.inUse ? IN_USE_COST : 0),
+      }));
+    let best: readonly PlannedModel[] | undefined;
+    let least = Infinity;
+    const search = (at: number, chosen: readonly PlannedModel[], frees: number, cost: number) => {
+      if (cost >= least) return;
+      if (frees >= missing) {
+        best = chosen;
+        least = cost;
+        return;
+      }
+      const next = removable[at];
+      if (!next) return;
+      search(at + 1, [...chosen, next.resident], frees + next.frees, cost + next.cost);
+      search(at + 1, chosen, frees, cost);
+    };
+    search(0, [], 0, 0);
+    return best;
   };
 
   const weigh = (
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -85,6 +85,7 @@
   readonly relay: Relay;
   /** Ends all work for the request; its reason is a refusal. */
   readonly signal: AbortSignal;
+  ageMilliseconds(): number;
   remainingMilliseconds(): number;
   readonly tried: Set<string>;
   sends: number;
@@ -151,13 +152,16 @@
     const { admitted, signal } = work;
     if (servers.of(admitted.service).some((state) => servers.holdsModel(state, model))) return;
     const since = startStopwatch(clock);
-    const remainingMilliseconds = work.remainingMilliseconds();
-    const waited = admitted.route.timeoutMilliseconds - remainingMilliseconds;
+    const { route } = admitted;
+    const age = work.ageMilliseconds();
     const result = await waits.wait({
       model,
       credit: 1,
-      objectiveMilliseconds: admitted.route.objectiveMilliseconds - Math.max(0, waited),
-      remainingMilliseconds,
+      objectiveMilliseconds: route.objectiveMilliseconds - age,
+      remainingMilliseconds: Math.min(
+        work.remainingMilliseconds(),
+        route.patienceMilliseconds - age,
+      ),
       signal,
     });
     metrics.coldStart.record(since());
@@ -423,6 +427,7 @@
       admitted,
       relay,
       signal,
+      ageMilliseconds: age,
       remainingMilliseconds: () => Math.max(1, allowed - age()),
       tried: new Set(),
       sends: 0,
