--- a/packages/loading/src/change.ts
+++ b/packages/loading/src/change.ts
@@ -11,7 +11,7 @@
   type OrderOutcome,
   type OrderRequest,
 } from './engine.js';
-import { hasRoom, type Issue } from './issue.js';
+import type { Issue } from './issue.js';
 
 /** Changes which models a server holds. */
 export interface Changer {
@@ -38,7 +38,9 @@
 }
 
 /** Pauses between tries of an order while an unload is under way, which waits for its requests. */
-const BUSY_RETRY_MILLISECONDS = [8, 15, 30, 60, 120, 240, 480, 960] as const;
+const BUSY_RETRY_MILLISECONDS = [30, 30, 60, 120, 240, 480, 960] as const;
+/** Time that an unload without running requests takes. */
+const UNLOAD_MILLISECONDS = 45;
 /** Time in which the other hosts learn of an unload before the server does. */
 const ANNOUNCE_MILLISECONDS = 4;
 /** Time beyond the expected one after which a server is asked whether a load is done. */
@@ -94,24 +96,13 @@
     if (loads) watchLoad(opened, expected);
   };
 
-  /** Memory of a model whose unload is under way is free for the next order. */
-  const fits = (book: ServerBook, request: OrderRequest): boolean => {
-    const engine = profile(book.entry.service);
-    if (!engine) return false;
-    const unloading = book.underWay?.order.operation === OPERATION.UNLOAD;
-    if (!unloading) return hasRoom(book, engine, request);
-    const models = new Map(book.models);
-    models.delete(book.underWay!.order.model);
-    return hasRoom({ ...book, models }, engine, request);
-  };
-
   /** Sends an order until the unload before it is done. */
   const issueWhenIdle = async (book: ServerBook, request: OrderRequest): Promise<boolean> => {
     const loads = request.operation === OPERATION.LOAD;
-    for (const pause of [0, ...BUSY_RETRY_MILLISECONDS]) {
+    const first = book.underWay ? UNLOAD_MILLISECONDS : 0;
+    for (const pause of [first, ...BUSY_RETRY_MILLISECONDS]) {
       // eslint-disable-next-line no-await-in-loop -- one try after another
       if (pause > 0) await clock.delay(pause);
-      if (loads && !fits(book, request)) return false;
       // eslint-disable-next-line no-await-in-loop -- one try after another
       const outcome: OrderOutcome = await issue(book, request);
       if (outcome === ORDER_OUTCOME.ACCEPTED) {
--- a/packages/loading/src/engine.ts
+++ b/packages/loading/src/engine.ts
@@ -31,6 +31,8 @@
   CONFLICT: 'conflict',
   /** The server will not carry this order out: another holder, another server, a bad order. */
   REJECTED: 'rejected',
+  /** The order was not sent: the server has no room for what it loads. */
+  NO_ROOM: 'no-room',
   /** No answer: it may have been accepted, or may be later. */
   UNKNOWN: 'unknown',
 } as const;
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -20,6 +20,7 @@
   readonly holder: string;
   /** Fencing number if this host gives the orders at this very moment. */
   readonly fencing: () => number | undefined;
+  readonly profile: (service: string) => EngineProfile | undefined;
 }
 
 /** Sends orders to one server one after another. */
@@ -32,8 +33,19 @@
 /** Pause after a server has rejected an order. */
 const REJECTED_MILLISECONDS = 1000;
 
-/** Tells whether a server has room for what an order loads. */
+/**
+ * Tells whether a server has room for what an order loads. Memory of a model whose unload is under
+ * way counts as free: the server takes the next order only once that is done.
+ */
 export function hasRoom(book: ServerBook, profile: EngineProfile, request: OrderRequest): boolean {
+  const { underWay } = book;
+  if (underWay?.order.operation !== OPERATION.UNLOAD) return fits(book, profile, request);
+  const models = new Map(book.models);
+  models.delete(underWay.order.model);
+  return fits({ ...book, models }, profile, request);
+}
+
+function fits(book: ServerBook, profile: EngineProfile, request: OrderRequest): boolean {
   const model = profile.models.get(request.model);
   if (!model) return false;
   const used = usedMegabytes(book, profile);
@@ -48,7 +60,7 @@
 
 /** Creates the sender of orders of one host. */
 export function createIssuer(options: IssuerOptions): Issue {
-  const { clock, control, logger, holder, fencing } = options;
+  const { clock, control, logger, holder, fencing, profile } = options;
   const queues = new Map<string, Promise<unknown>>();
 
   const readReport = async (book: ServerBook): Promise<void> => {
@@ -94,6 +106,9 @@
     if (book.sequence === undefined) await readReport(book);
     const token = fencing();
     if (token === undefined || book.sequence === undefined) return ORDER_OUTCOME.REJECTED;
+    const engine = profile(book.entry.service);
+    const loads = request.operation === OPERATION.LOAD;
+    if (loads && (!engine || !hasRoom(book, engine, request))) return ORDER_OUTCOME.NO_ROOM;
     const begun = clock.monotonic();
     Object.assign(book, { orderedAt: begun });
     const expectedSequence = book.sequence;
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -57,8 +57,8 @@
   readonly startsNow: boolean;
 }
 
-/** Time that a model without requests takes to make way: an order's way there and back. */
-const UNLOAD_MILLISECONDS = 20;
+/** Time that a model without requests takes to make way. */
+const UNLOAD_MILLISECONDS = 60;
 /** Time that running requests take to end on average, before their model can make way. */
 const IN_USE_MILLISECONDS = 1000;
 /**
