--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,12 +25,12 @@
 
 /** Entry points decide the exit code of their process. */
 const entries = {
-  files: ['packages/*/src/main.ts'],
+  files: ['packages/*/src/main.ts', 'platform/src/main.ts'],
   rules: { 'n/no-process-exit': 'off' },
 };
 
 const tests = {
-  files: ['packages/*/test/**'],
+  files: ['packages/*/test/**', 'platform/test/**'],
   rules: {
     'import-x/no-extraneous-dependencies': 'off',
     'n/no-unsupported-features/node-builtins': 'off',
@@ -49,7 +49,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', 'build/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', 'build/**', 'target/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -56,8 +56,7 @@
   let listed: ServerView = new Map();
   let sinceOutage: Stopwatch | undefined;
 
-  const mayReturn = (): boolean =>
-    sinceOutage !== undefined && sinceOutage() < returnMilliseconds;
+  const mayReturn = (): boolean => sinceOutage !== undefined && sinceOutage() < returnMilliseconds;
 
   const merge = (): void => {
     const next = new Map<string, ServerEntry>();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,9 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import {
-  createDirectory,
-  type FleetConfiguration,
-  type ServerEntry,
-} from '@bulrushspar/catalogue';
+import { createDirectory, type FleetConfiguration, type ServerEntry } from '@bulrushspar/catalogue';
 import { every, type Clock } from '@bulrushspar/clock';
 import { createRefusal, messageOf, REFUSAL, type Refusal } from '@bulrushspar/errors';
 import { createDemand, type EngineControl, type Outlook } from '@bulrushspar/loading';
@@ -221,7 +217,6 @@
   });
   const sources = [configurations, serverEntries, hostRecords];
 
-
   const takeOutlook = (outlook: readonly Outlook[]): void => waits.noteOutlook(outlook);
 
   const duty: OrderDuty = createOrderDuty({
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,7 +1,20 @@
 /** One entry host of a fleet: links, shares, loading and serving wired together. */
-export { startEntry, type Entry, type EntryHost, type EntryOptions, type FleetBounds } from './entry.js';
+export {
+  startEntry,
+  type Entry,
+  type EntryHost,
+  type EntryOptions,
+  type FleetBounds,
+} from './entry.js';
 export { createGossip, type Gossip, type GossipOptions } from './gossip.js';
-export { HOST_KIND, joinGroup, peersOf, readSecret, SECRET_KIND, type HostRecord } from './group.js';
+export {
+  HOST_KIND,
+  joinGroup,
+  peersOf,
+  readSecret,
+  SECRET_KIND,
+  type HostRecord,
+} from './group.js';
 export { MESSAGE, type HostState, type PullAnswer } from './messages.js';
 export { createOrderDuty, type OrderDuty, type OrderDutyOptions } from './orders.js';
 export { createQuotas, type Quotas, type QuotasOptions, type QuotaTolerance } from './quotas.js';
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -2,7 +2,13 @@
 import { messageOf } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import type { Link } from '@bulrushspar/peer';
-import { followKind, type ObjectChange, type ObjectStore, type ObjectView, type StoredObject } from '@bulrushspar/store';
+import {
+  followKind,
+  type ObjectChange,
+  type ObjectStore,
+  type ObjectView,
+  type StoredObject,
+} from '@bulrushspar/store';
 import { MESSAGE, type ChangesMessage, type PullAnswer, type PullMessage } from './messages.js';
 
 /**
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -93,8 +93,7 @@
   const key = { kind: LEASE_KIND, name };
   const turnMilliseconds = termMilliseconds / RENEWALS_PER_TERM;
   let renewed:
-    | { readonly since: Stopwatch; readonly fencing: number; readonly version: Version }
-    | undefined;
+    { readonly since: Stopwatch; readonly fencing: number; readonly version: Version } | undefined;
   let sighting: Sighting | undefined;
   let told = false;
   let formerHost: string | undefined;
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -74,7 +74,8 @@
 
 /** Notes that the order under way is done. */
 export function finishOrder(book: ServerBook, clock: Clock): void {
-  const { underWay } = book;
+  const opened = book;
+  const { underWay } = opened;
   if (!underWay) return;
   const { operation, model } = underWay.order;
   if (operation === OPERATION.LOAD) {
@@ -84,7 +85,7 @@
     book.models.delete(model);
     book.loadedAt.delete(model);
   }
-  delete book.underWay;
+  delete opened.underWay;
 }
 
 /**
@@ -94,7 +95,7 @@
  */
 export function takeEntry(book: ServerBook, entry: ServerEntry, clock: Clock): boolean {
   const opened = book;
-  const restarted = entry.born !== book.entry.born;
+  const restarted = entry.born !== opened.entry.born;
   opened.entry = entry;
   if (restarted) {
     reopenBook(opened);
@@ -124,7 +125,8 @@
   if (book.sequence === undefined || book.underWay) return;
   if (clock.monotonic() - book.orderedAt < ENTRY_MILLISECONDS) return;
   const models = adaptersOf(book.entry);
-  const same = models.size === book.models.size && [...models.keys()].every((name) => book.models.has(name));
+  const same =
+    models.size === book.models.size && [...models.keys()].every((name) => book.models.has(name));
   if (same) return;
   opened.models = models;
   opened.sequence = undefined;
@@ -135,8 +137,8 @@
   const opened = book;
   if (report.born !== book.entry.born) return;
   if (book.sequence !== undefined && report.sequence < book.sequence) return;
-  if (report.sequence !== book.sequence) book.doubtful = [];
-  book.sequence = report.sequence;
+  if (report.sequence !== book.sequence) opened.doubtful = [];
+  opened.sequence = report.sequence;
   const models = adaptersOf(report);
   const { underWay } = book;
   // An order of an earlier giver is under way; what it loads is not in the report yet.
@@ -146,8 +148,8 @@
     return;
   }
   if (underWay && (report.busy || !showsDone(underWay, models))) return;
-  if (underWay) finishOrder(book, clock);
-  book.models = models;
+  if (underWay) finishOrder(opened, clock);
+  opened.models = models;
 }
 
 /** Memory that a server's models and adapters take, with those that may come still. */
@@ -162,8 +164,7 @@
 
 /** Memory that the order under way and those without an answer may take. */
 export function doubtfulMegabytes(book: ServerBook, profile: EngineProfile): number {
-  const loading =
-    book.underWay?.order.operation === OPERATION.LOAD ? [book.underWay.order] : [];
+  const loading = book.underWay?.order.operation === OPERATION.LOAD ? [book.underWay.order] : [];
   const absent = [...book.doubtful, ...loading].filter(
     ({ model, adapter }) => adapter !== undefined || !book.models.has(model),
   );
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -122,25 +122,25 @@
     return Math.min(Math.floor(allowed) - coldBegun.length, COLD_LOADS_AT_ONCE - running);
   };
 
-  const startLoad = (load_: PlannedLoad): void => {
-    const book = books.get(load_.server);
-    if (!book || starting.has(load_.server)) return;
-    starting.add(load_.server);
+  const startLoad = (load: PlannedLoad): void => {
+    const book = books.get(load.server);
+    if (!book || starting.has(load.server)) return;
+    starting.add(load.server);
     logger.info('load decided', {
-      model: load_.model,
-      server: load_.server,
-      victims: load_.victims.join(' '),
-      readyMilliseconds: Math.round(load_.readyMilliseconds),
-      cold: load_.cold,
+      model: load.model,
+      server: load.server,
+      victims: load.victims.join(' '),
+      readyMilliseconds: Math.round(load.readyMilliseconds),
+      cold: load.cold,
     });
-    if (load_.cold) coldBegun.push(clock.monotonic());
+    if (load.cold) coldBegun.push(clock.monotonic());
     changer
-      .replace(book, load_.victims, load_.model)
+      .replace(book, load.victims, load.model)
       .catch((error: unknown) =>
-        logger.error('load failed', { server: load_.server, error: messageOf(error) }),
+        logger.error('load failed', { server: load.server, error: messageOf(error) }),
       )
       .finally(() => {
-        starting.delete(load_.server);
+        starting.delete(load.server);
         planSoon();
       });
   };
@@ -180,11 +180,10 @@
       coldLoads: coldLoadsLeft(engine),
     });
     loads.filter(({ startsNow }) => startsNow).forEach(startLoad);
-    const byModel = new Map(loads.map((load_) => [load_.model, load_]));
+    const byModel = new Map(loads.map((load) => [load.model, load]));
     return known.map(({ model }) => {
       if (resident(model)) return { model, readyMilliseconds: 0 };
-      const planned_ = byModel.get(model);
-      const { readyMilliseconds, server } = planned_ ?? {};
+      const { readyMilliseconds, server } = byModel.get(model) ?? {};
       return underWay.get(model) ?? { model, readyMilliseconds, server };
     });
   };
--- a/packages/logging/src/logger.ts
+++ b/packages/logging/src/logger.ts
@@ -63,7 +63,11 @@
 /** Creates a logger; it never waits for what reads its lines. */
 export function createLogger(options: LoggerOptions = {}): Logger {
   const { level = 'info', format = LOG_FORMAT.JSON, fields = {} } = options;
-  const { stream = process.stderr, mostPerSecond = Infinity, now = () => performance.now() } = options;
+  const {
+    stream = process.stderr,
+    mostPerSecond = Infinity,
+    now = () => performance.now(),
+  } = options;
   const limiter = createLimiter(mostPerSecond, now);
   const last = format === LOG_FORMAT.PRETTY ? pretty : winston.format.json();
   const logger = winston.createLogger({
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,6 +6,7 @@
   type AdmissionOptions,
   type Admitted,
 } from './admit.js';
+export { createAttempts, type Attempts, type AttemptsOptions, type Work } from './attempts.js';
 export {
   isRepeatable,
   type AnswerHead,
--- a/packages/serving/src/relay.ts
+++ b/packages/serving/src/relay.ts
@@ -42,8 +42,6 @@
   readonly lastEventId?: string;
   /** Called when the first byte of an answer has come. */
   readonly onFirst: () => void;
-  /** Called with the head of each answer. */
-  readonly onHead: (head: AnswerHead) => void;
   /** Tells whether a failure that the server answers with may be followed by another attempt. */
   readonly mayRepeat: () => boolean;
 }
@@ -75,7 +73,8 @@
   }
   if (head.notRun || head.otherServer) throw answerError(ANSWER_FAULT.NOT_RUN, head);
   if (isSuccess(head.status) && !head.signed) throw answerError(ANSWER_FAULT.FOREIGN, head);
-  if (head.status >= FIRST_SERVER_ERROR && mayRepeat()) throw answerError(ANSWER_FAULT.FAILED, head);
+  if (head.status >= FIRST_SERVER_ERROR && mayRepeat())
+    throw answerError(ANSWER_FAULT.FAILED, head);
 }
 
 const tooLarge = (): Refusal =>
@@ -99,7 +98,6 @@
       size = 0;
       return {
         onHead: (answered) => {
-          options.onHead(answered);
           checkHead(answered, options);
           head = answered;
         },
@@ -161,7 +159,6 @@
       rest = 0;
       return {
         onHead: (answered, control) => {
-          options.onHead(answered);
           checkHead(answered, options);
           // A stream that goes on elsewhere keeps the head of its first server.
           if (reply.begun() && !isSuccess(answered.status)) {
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -82,8 +82,7 @@
         if (known?.entry.born === entry.born) {
           known.entry = entry;
           forgetUnloaded(known);
-        }
-        else states.set(id, open(entry));
+        } else states.set(id, open(entry));
       });
       byService = new Map();
       states.forEach((state) => {
@@ -113,7 +112,8 @@
     },
     holdsAdapter: (state, model, adapter) => {
       const loadedAt = state.adapters.get(`${model}/${adapter}`);
-      if (loadedAt !== undefined && clock.monotonic() - loadedAt < ADAPTER_MILLISECONDS) return true;
+      if (loadedAt !== undefined && clock.monotonic() - loadedAt < ADAPTER_MILLISECONDS)
+        return true;
       const resident = state.entry.models.find(({ name }) => name === model);
       return resident?.adapters.includes(adapter) ?? false;
     },
