--- /dev/null
+++ b/packages/loading/test/plan.feature
@@ -0,0 +1,86 @@
+@plan
+Feature: Which model is loaded where, and what makes way
+  Two servers of 200 GB; models of 60 GB unless a row says otherwise. A load takes 400 ms out of main
+  memory, 800 ms from disk and 6,000 ms out of the weight store.
+
+  Scenario Outline: A rare model is asked for
+    Given servers that hold
+      | server | models  | memory | disk    |
+      | s1     | <one>   | <mem1> | <disk1> |
+      | s2     | <two>   | <mem2> | <disk2> |
+    And requests a second
+      | model | rate |
+      | busy  | 10   |
+      | idle  | 0.05 |
+      | rare  | 0.1  |
+    When <count> request waits for "new"
+    Then it is loaded at "<server>" in place of "<victims>", ready in <ready> ms
+
+    Examples: the nearest copy is used
+      | one       | two  | mem1 | disk1 | mem2 | disk2 | count | server | victims | ready |
+      | rare      | rare | new  |       |      | new   | 1     | s1     |         | 400   |
+      | rare      | rare |      |       |      | new   | 1     | s2     |         | 800   |
+      | rare      | rare |      |       |      |       | 1     | s1     |         | 6000  |
+
+    Examples: what is worth least makes way, and a busy model never does for one request
+      | one            | two            | mem1 | disk1 | mem2 | disk2 | count | server | victims | ready |
+      | rare idle busy | busy busy busy |      | new   |      | new   | 1     | s1     | idle    | 860   |
+      | busy           | busy busy busy | new  |       | new  |       | 1     | s1     |         | 400   |
+      | busy idle rare | rare           | new  |       |      | new   | 1     | s1     | idle    | 460   |
+
+  Scenario: Nothing makes way for one request where only busy models are loaded
+    Given servers that hold
+      | server | models         | memory | disk |
+      | s1     | busy1 busy2 b3 |        | new  |
+    And requests a second
+      | model | rate |
+      | busy1 | 8    |
+      | busy2 | 9    |
+      | b3    | 7    |
+    When 1 request waits for "new"
+    Then nothing is loaded
+
+  Scenario: A burst of many rare models at once
+    Given servers that hold
+      | server | models | memory | disk        |
+      | s1     |        |        | n1 n2 n3 n4 |
+      | s2     |        |        | n1 n2 n3 n4 |
+    When one request waits for each of "n1 n2 n3 n4", the oldest first
+    Then the loads are shared out as
+      | model | ready | starts |
+      | n1    | 800   | yes    |
+      | n2    | 800   | yes    |
+      | n3    | 1600  | no     |
+      | n4    | 1600  | no     |
+
+  Scenario: Requests that can still be served in time go before those that cannot
+    Given servers that hold
+      | server | models | memory | disk    |
+      | s1     |        |        | late ok |
+    When one request waits for each of
+      | model | objective |
+      | late  | -100      |
+      | ok    | 2000      |
+    Then "ok" is loaded before "late"
+
+  Scenario: Loads out of the weight store stay within their number
+    Given servers that hold
+      | server | models | memory | disk |
+      | s1     |        |        |      |
+      | s2     |        |        |      |
+    And 1 load out of the weight store may begin
+    When one request waits for each of "n1 n2", the oldest first
+    Then the loads are shared out as
+      | model | ready | starts |
+      | n1    | 6000  | yes    |
+
+  Scenario: A model that was just loaded is not evicted before its requests are served
+    Given servers that hold
+      | server | models       | memory | disk |
+      | s1     | fresh! b1 b2 | new    |      |
+    And requests a second
+      | model | rate |
+      | b1    | 9    |
+      | b2    | 9    |
+    When 1 request waits for "new"
+    Then nothing is loaded
--- /dev/null
+++ b/packages/loading/test/plan.ts
@@ -0,0 +1,142 @@
+/** Plans of loads. */
+import assert from 'node:assert/strict';
+import { Before, Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import type { EngineProfile, ModelProfile } from '@bulrushspar/catalogue';
+import { planLoads, type PlannedLoad, type PlannedServer, type Want } from '@bulrushspar/loading';
+
+interface PlanWorld {
+  servers: PlannedServer[];
+  rates: Map<string, number>;
+  coldLoads: number;
+  loads: readonly PlannedLoad[];
+}
+
+const words = (text: string): string[] => text.split(' ').filter((word) => word !== '');
+
+const modelProfile = (name: string): ModelProfile => ({
+  name,
+  megabytes: 60_000,
+  adapterMegabytes: 50,
+  coldMilliseconds: 6000,
+  diskMilliseconds: 800,
+  memoryMilliseconds: 400,
+});
+
+const NAMES = words('busy idle rare new n1 n2 n3 n4 late ok fresh b1 b2 b3 busy1 busy2');
+
+const PROFILE: EngineProfile = {
+  slots: 64,
+  cacheTokens: 100_000,
+  weightsMegabytes: 200_000,
+  adapterSlots: 8,
+  coldLoadsPerSecond: 3,
+  models: new Map(NAMES.map((name) => [name, modelProfile(name)])),
+};
+
+Before('@plan', function reset(this: PlanWorld) {
+  Object.assign(this, { rates: new Map(), coldLoads: 4 });
+});
+
+Given('servers that hold', function hold(this: PlanWorld, table: DataTable) {
+  this.servers = table.hashes().map(({ server, models, memory, disk }) => ({
+    id: server!,
+    models: words(models!).map((word) => ({
+      name: word.replace('!', ''),
+      adapters: 0,
+      inUse: false,
+      fresh: word.endsWith('!'),
+    })),
+    doubtfulMegabytes: 0,
+    busyMilliseconds: 0,
+    inMemory: new Set(words(memory!)),
+    onDisk: new Set(words(disk!)),
+  }));
+});
+
+Given('requests a second', function rates(this: PlanWorld, table: DataTable) {
+  this.rates = new Map(table.hashes().map(({ model, rate }) => [model!, Number(rate)]));
+});
+
+Given(
+  /^(\d+) loads? out of the weight store may begin$/,
+  function limit(this: PlanWorld, count: string) {
+    this.coldLoads = Number(count);
+  },
+);
+
+function plan(world: PlanWorld, wants: readonly Want[]): void {
+  Object.assign(world, {
+    loads: planLoads({
+      profile: PROFILE,
+      servers: world.servers,
+      wants,
+      creditPerSecond: (model) => world.rates.get(model) ?? 0,
+      idleMilliseconds: () => Infinity,
+      coldLoads: world.coldLoads,
+    }),
+  });
+}
+
+const want = (model: string, count: number, objectiveMilliseconds: number): Want => ({
+  model,
+  count,
+  credit: count,
+  objectiveMilliseconds,
+});
+
+When(
+  /^(\d+) requests? waits? for "([^"]*)"$/,
+  function wait(this: PlanWorld, count: string, model: string) {
+    plan(this, [want(model, Number(count), 2000)]);
+  },
+);
+
+When(
+  'one request waits for each of {string}, the oldest first',
+  function wait(this: PlanWorld, models: string) {
+    plan(
+      this,
+      words(models).map((model, index) => want(model, 1, 2000 + index)),
+    );
+  },
+);
+
+When('one request waits for each of', function wait(this: PlanWorld, table: DataTable) {
+  plan(
+    this,
+    table.hashes().map(({ model, objective }) => want(model!, 1, Number(objective))),
+  );
+});
+
+Then(
+  'it is loaded at {string} in place of {string}, ready in {int} ms',
+  function check(this: PlanWorld, server: string, victims: string, ready: number) {
+    assert.equal(this.loads.length, 1);
+    const [load] = this.loads;
+    assert.equal(load!.server, server);
+    assert.deepEqual(load!.victims, words(victims));
+    assert.equal(load!.readyMilliseconds, ready);
+  },
+);
+
+Then('nothing is loaded', function check(this: PlanWorld) {
+  assert.deepEqual(this.loads, []);
+});
+
+Then('the loads are shared out as', function check(this: PlanWorld, table: DataTable) {
+  const found = this.loads.map(({ model, readyMilliseconds, startsNow }) => ({
+    model,
+    ready: String(readyMilliseconds),
+    starts: startsNow ? 'yes' : 'no',
+  }));
+  assert.deepEqual(found, table.hashes());
+});
+
+Then(
+  '{string} is loaded before {string}',
+  function check(this: PlanWorld, first: string, second: string) {
+    const readyAt = (name: string): number =>
+      this.loads.find(({ model }) => model === name)!.readyMilliseconds;
+    assert.ok(readyAt(first) < readyAt(second));
+  },
+);
--- /dev/null
+++ b/packages/serving/test/serve.feature
@@ -0,0 +1,89 @@
+@serving
+Feature: One request on its way
+  A service with three servers. "!" stands for the end of a connection.
+
+  Scenario Outline: What servers do to a request, and what its caller gets
+    Given a <kind> route
+    And servers that one after another <behave>
+    When a request is served
+    Then the caller gets <answer>
+    And <sends> servers received it
+
+    Examples: requests that may run once at most
+      | kind | behave                          | answer             | sends |
+      | once | answer                          | 200 whole          | 1     |
+      | once | reject, answer                  | 200 whole          | 2     |
+      | once | are unreachable, answer         | 200 whole          | 2     |
+      | once | are cut, answer                 | 502                | 1     |
+      | once | answer another request, answer  | 502                | 1     |
+      | once | fail, answer                    | 500                | 1     |
+      | once | reject, reject, reject, reject, reject | 503 with a wait | 5 |
+
+    Examples: requests that may run again
+      | kind       | behave                         | answer    | sends |
+      | idempotent | are cut, answer                | 200 whole | 2     |
+      | idempotent | fail, answer                   | 200 whole | 2     |
+      | idempotent | fail, fail                     | 500       | 2     |
+      | idempotent | answer another request, answer | 200 whole | 2     |
+      | idempotent | answer unsigned, answer        | 200 whole | 2     |
+      | idempotent | are cut, are cut, answer       | 502       | 2     |
+      | idempotent | are silent, answer             | 200 whole | 2     |
+
+    Examples: streams
+      | kind      | behave                              | answer            | sends |
+      | stream    | stream                              | events 12345 end  | 1     |
+      | stream    | stream up to 3.5 and are cut        | events 123!       | 1     |
+      | stream    | are cut, stream                     | 502               | 1     |
+      | resumable | stream up to 3.5 and are cut, stream| events 12345 end  | 2     |
+      | resumable | stream up to 3 and are cut, stream  | events 12345 end  | 2     |
+      | resumable | are cut, stream                     | events 12345 end  | 2     |
+      | resumable | stream up to 2 and are cut, stream up to 4 and are cut | events 1234! | 2 |
+      | resumable | stream up to 3.5 and end, stream    | events 12345 end  | 2     |
+
+  Scenario: A request that nobody answers in time
+    Given a once route
+    And servers that one after another are silent
+    When a request is served
+    Then the caller gets 504
+    And it took at most 1100 ms
+    And no server works on it any more
+
+  Scenario: The caller leaves
+    Given a stream route
+    And servers that one after another are silent
+    When the caller of a request leaves after 100 ms
+    Then no server works on it any more
+
+  Scenario: A request crashes each server that runs it
+    Given a once route
+    And servers that one after another are cut, are cut, are cut, answer
+    When the same request is served 4 times
+    Then the caller gets 503
+    And 3 servers received it
+
+  Scenario Outline: A request whose model is not loaded
+    Given a resumable route
+    And no server holds the model
+    And the giver of orders <says>
+    When a request is served
+    Then the caller gets 503 with a wait
+    And it took at most <most> ms
+
+    Examples:
+      | says                                  | most |
+      | is not there                          | 1600 |
+      | says that it will be ready in 20000 ms | 200  |
+
+  Scenario: A refused request costs no quota
+    Given a once route
+    And servers that one after another reject, reject, reject, reject, reject, answer
+    And a workspace that may use 1 request
+    When the same request is served 2 times
+    Then the caller gets 200 whole
+
+  Scenario: A request beyond the quota
+    Given a once route
+    And servers that one after another answer
+    And a workspace that may use 1 request
+    When the same request is served 2 times
+    Then the caller gets 429 with a wait
--- /dev/null
+++ b/packages/serving/test/serve.ts
@@ -0,0 +1,352 @@
+/** Requests before servers that do what a table says. */
+import assert from 'node:assert/strict';
+import { Before, Given, Then, When } from '@cucumber/cucumber';
+import { createMetrics } from '@bulrushspar/metrics';
+import type { FleetConfiguration, Route, ServerEntry } from '@bulrushspar/catalogue';
+import { createManualClock, type ManualClock } from '@bulrushspar/clock';
+import { createDemand } from '@bulrushspar/loading';
+import { createSuspects } from '@bulrushspar/routing';
+import {
+  createAdmission,
+  createModelWaits,
+  createServe,
+  createServerStates,
+  createServingMetrics,
+  type AnswerSink,
+  type Attempt,
+  type Call,
+  type ModelWaits,
+  type Reply,
+} from '@bulrushspar/serving';
+import { createReplicatedBucket, createRetryBudget } from '@bulrushspar/shares';
+import { EXCHANGE_FAULT, PROGRESS } from '@bulrushspar/targets';
+
+interface ServingWorld {
+  clock: ManualClock;
+  route: Route;
+  behaviours: string[];
+  sends: number;
+  atWork: number;
+  loaded: boolean;
+  quota: number | undefined;
+  outlookMilliseconds: number | undefined;
+  reply: RecordedReply;
+  took: number;
+}
+
+interface RecordedReply extends Reply {
+  status: number | undefined;
+  body: string;
+  ended: boolean;
+  broken: boolean;
+  retryAfter: number | undefined;
+  leave(): void;
+}
+
+const STEP_MILLISECONDS = 20;
+const LONGEST_MILLISECONDS = 20_000;
+const flow = { pause: () => {}, resume: () => {} };
+const eventOf = (id: number): string => `id: ${id}\ndata: ${id}\n\n`;
+
+const ROUTES: Readonly<Record<string, Partial<Route>>> = {
+  once: { kind: 'once', attempts: 1 },
+  idempotent: { kind: 'idempotent', attempts: 2 },
+  stream: { kind: 'stream', attempts: 1 },
+  resumable: { kind: 'stream', attempts: 2, resumable: true, timeoutMilliseconds: 17_000 },
+};
+
+function createReply(): RecordedReply {
+  const gone = new AbortController();
+  const reply: RecordedReply = {
+    status: undefined,
+    body: '',
+    ended: false,
+    broken: false,
+    retryAfter: undefined,
+    gone: gone.signal,
+    leave: () => gone.abort(),
+    begun: () => reply.status !== undefined,
+    begin: (status) => {
+      reply.status = status;
+    },
+    write: (chunk) => {
+      reply.body += chunk.toString();
+      return true;
+    },
+    onDrain: () => {},
+    end: () => {
+      reply.ended = true;
+    },
+    breakOff: () => {
+      reply.broken = true;
+    },
+    refuse: (status, _message, retryAfter) => {
+      reply.status = status;
+      reply.retryAfter = retryAfter;
+      reply.ended = true;
+    },
+  };
+  return reply;
+}
+
+const cut = (progress: string): Error =>
+  Object.assign(new Error('cut'), { progress, fault: EXCHANGE_FAULT.CUT });
+
+const head = (changes: object = {}) => ({
+  status: 200,
+  notRun: false,
+  otherServer: false,
+  signed: true,
+  callId: 'call-1',
+  headers: [],
+  ...changes,
+});
+
+/** Streams events after the last one that the caller has. */
+function stream(sink: AnswerSink, attempt: Attempt, upTo: number, torn: boolean): void {
+  sink.onHead(head(), flow);
+  const first = Number(attempt.lastEventId ?? 0) + 1;
+  for (let id = first; id <= upTo; id += 1) sink.onData(Buffer.from(eventOf(id)));
+  if (torn) sink.onData(Buffer.from(eventOf(upTo + 1).slice(0, 9)));
+}
+
+function behave(what: string, sink: AnswerSink, attempt: Attempt): void {
+  const partial = /^stream up to ([\d.]+) and (are cut|end)$/.exec(what);
+  if (partial) {
+    const upTo = Number(partial[1]);
+    stream(sink, attempt, Math.floor(upTo), !Number.isInteger(upTo));
+    if (partial[2] === 'are cut') throw cut(PROGRESS.ANSWERED);
+    return;
+  }
+  if (what === 'stream') stream(sink, attempt, 5, false);
+  else if (what === 'are cut') throw cut(PROGRESS.SENT);
+  else if (what === 'are unreachable') throw cut(PROGRESS.NOT_SENT);
+  else if (what === 'reject') sink.onHead(head({ status: 503, notRun: true }), flow);
+  else if (what === 'answer another request') sink.onHead(head({ callId: 'call-0' }), flow);
+  else if (what === 'answer unsigned') sink.onHead(head({ signed: false }), flow);
+  else sink.onHead(head({ status: what === 'fail' ? 500 : 200 }), flow);
+  if (what === 'answer' || what === 'fail') sink.onData(Buffer.from('whole'));
+}
+
+const untilAborted = (signal: AbortSignal): Promise<never> =>
+  new Promise((_resolve, reject) => {
+    const end = (): void => reject(cut(PROGRESS.SENT));
+    if (signal.aborted) end();
+    signal.addEventListener('abort', end, { once: true });
+  });
+
+const entry = (id: string, loaded: boolean): ServerEntry => ({
+  id,
+  service: 'llm',
+  address: '127.0.0.1:1',
+  failureDomain: 'd1',
+  slots: 8,
+  leaving: false,
+  born: 1,
+  models: loaded ? [{ name: 'm', version: 1, adapters: [] }] : [],
+  inMemory: [],
+  onDisk: [],
+});
+
+const configuration = (world: ServingWorld): FleetConfiguration => ({
+  version: 1,
+  routes: [world.route],
+  services: new Map(),
+  workspaces: [
+    {
+      name: 'w',
+      keys: ['key'],
+      ...(world.quota === undefined
+        ? {}
+        : { quota: { perSecond: 0.1, burst: world.quota, countsTokens: false, plainTokens: 1 } }),
+    },
+  ],
+  callerLimits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+});
+
+function openServe(world: ServingWorld) {
+  const { clock } = world;
+  const states = createServerStates(clock);
+  states.update(new Map(['s1', 's2', 's3'].map((id) => [id, entry(id, world.loaded)])));
+  const bucket = createReplicatedBucket({
+    clock,
+    limits: { perSecond: 0.1, burst: world.quota ?? 1 },
+    group: () => ({ linkedPart: 1 }),
+    initial: world.quota ?? 1,
+    slackPerSecond: 0,
+  });
+  const admission = createAdmission({ bucketOf: () => bucket, random: () => 0 });
+  admission.update(configuration(world));
+  const answer = (waits: ModelWaits): void => {
+    if (world.outlookMilliseconds === undefined) return;
+    const readyMilliseconds = world.outlookMilliseconds;
+    clock.after(10, () => waits.noteOutlook([{ model: 'm', readyMilliseconds }]));
+  };
+  const waits: ModelWaits = createModelWaits({ clock, onWant: () => answer(waits) });
+  const counted = world;
+  return createServe<Call>({
+    clock,
+    logger: { info: () => {}, warn: () => {}, error: () => {} },
+    metrics: createServingMetrics(createMetrics()),
+    random: () => 0,
+    failureDomain: 'd1',
+    admission,
+    servers: states,
+    waits,
+    demand: createDemand({ clock }),
+    budget: createRetryBudget({
+      clock,
+      ratio: 0.2,
+      slack: 56,
+      windowMilliseconds: 10_000,
+      hosts: () => 1,
+    }),
+    suspects: createSuspects({ clock }),
+    ensureAdapter: () => Promise.resolve(true),
+    closed: () => undefined,
+    send: async (_call, attempt, sink, signal) => {
+      const what = counted.behaviours[counted.sends] ?? 'answer';
+      counted.sends += 1;
+      counted.atWork += 1;
+      try {
+        await clock.delay(5);
+        if (what === 'are silent') await untilAborted(signal);
+        behave(what, sink, attempt);
+      } finally {
+        counted.atWork -= 1;
+      }
+    },
+  });
+}
+
+const createCall = (world: ServingWorld): Call => ({
+  id: 'call-1',
+  host: 'example',
+  path: '/r/1',
+  key: 'key',
+  ...(world.route.kind === 'stream' ? { need: { model: 'm', promptParts: [] } } : {}),
+  fingerprint: () => 'content',
+});
+
+/** Lets time pass until some work is done. */
+async function finish(world: ServingWorld, work: Promise<void>): Promise<void> {
+  const { clock } = world;
+  const start = clock.monotonic();
+  let done = false;
+  work.then(
+    () => {
+      done = true;
+    },
+    () => {},
+  );
+  while (!done && clock.monotonic() - start < LONGEST_MILLISECONDS) {
+    // eslint-disable-next-line no-await-in-loop -- steps of time follow one another
+    await clock.advance(STEP_MILLISECONDS);
+  }
+  Object.assign(world, { took: clock.monotonic() - start });
+}
+
+Before('@serving', function reset(this: ServingWorld) {
+  const empty = { sends: 0, atWork: 0, loaded: true, quota: undefined };
+  Object.assign(this, { clock: createManualClock(), outlookMilliseconds: undefined, ...empty });
+});
+
+Given(
+  /^an? (once|idempotent|stream|resumable) route$/,
+  function route(this: ServingWorld, kind: string) {
+    this.route = {
+      name: 'r',
+      host: 'example',
+      pathPrefix: '/r/',
+      kind: 'once',
+      timeoutMilliseconds: 1000,
+      objectiveMilliseconds: 200,
+      patienceMilliseconds: 10_000,
+      priority: 0,
+      shares: [{ service: 'llm', weight: 1 }],
+      attempts: 1,
+      open: false,
+      resumable: false,
+      ...ROUTES[kind],
+    };
+  },
+);
+
+Given(
+  /^servers that one after another (.+)$/,
+  function behaviours(this: ServingWorld, list: string) {
+    this.behaviours = list.split(', ');
+  },
+);
+
+Given('no server holds the model', function unload(this: ServingWorld) {
+  this.loaded = false;
+  this.behaviours = [];
+});
+
+Given(
+  /^the giver of orders (?:is not there|says that it will be ready in (\d+) ms)$/,
+  function outlook(this: ServingWorld, milliseconds: string | null) {
+    if (milliseconds) this.outlookMilliseconds = Number(milliseconds);
+  },
+);
+
+Given('a workspace that may use {int} request', function quota(this: ServingWorld, count: number) {
+  this.quota = count;
+});
+
+async function serveTimes(world: ServingWorld, times: number): Promise<void> {
+  const serve = openServe(world);
+  for (let count = 0; count < times; count += 1) {
+    Object.assign(world, { reply: createReply() });
+    // eslint-disable-next-line no-await-in-loop -- requests follow one another
+    await finish(world, serve(createCall(world), world.reply));
+  }
+}
+
+When('a request is served', async function once(this: ServingWorld) {
+  await serveTimes(this, 1);
+});
+
+When(
+  'the same request is served {int} times',
+  async function often(this: ServingWorld, times: number) {
+    await serveTimes(this, times);
+  },
+);
+
+When(
+  'the caller of a request leaves after {int} ms',
+  async function leave(this: ServingWorld, milliseconds: number) {
+    const serve = openServe(this);
+    this.reply = createReply();
+    const work = serve(createCall(this), this.reply);
+    await this.clock.advance(milliseconds);
+    assert.equal(this.atWork, 1);
+    this.reply.leave();
+    await finish(this, work);
+  },
+);
+
+function describe({ status, body, ended, broken, retryAfter }: RecordedReply): string {
+  const events = [...body.matchAll(/^data: (.*)$/gm)].map(([, data]) => data).join('');
+  if (events !== '') return `events ${events}${ended ? ' end' : ''}${broken ? '!' : ''}`;
+  if (retryAfter !== undefined) return `${status} with a wait`;
+  return `${status}${body === 'whole' && status === 200 ? ' whole' : ''}`;
+}
+
+Then(/^the caller gets (.+)$/, function check(this: ServingWorld, answer: string) {
+  assert.equal(describe(this.reply), answer);
+});
+
+Then(/^(\d+) servers received it$/, function check(this: ServingWorld, count: string) {
+  assert.equal(this.sends, Number(count));
+});
+
+Then('it took at most {int} ms', function check(this: ServingWorld, milliseconds: number) {
+  assert.ok(this.took <= milliseconds, `${this.took} ms`);
+});
+
+Then('no server works on it any more', function check(this: ServingWorld) {
+  assert.equal(this.atWork, 0);
+});
