--- /dev/null
+++ b/packages/catalogue/test/catalogue.feature
@@ -0,0 +1,30 @@
+@catalogue
+Feature: Routes and servers
+
+  Scenario Outline: The longest prefix of the host's routes leads
+    Given routes "a.example/ a.example/x/ a.example/x/y/ b.example/x/"
+    Then a request to "<host>" for "<path>" takes the route "<route>"
+
+    Examples:
+      | host      | path      | route         |
+      | a.example | /         | a.example/    |
+      | a.example | /x/1      | a.example/x/  |
+      | A.EXAMPLE | /x/y/z    | a.example/x/y/|
+      | a.example | /xy/1     | a.example/    |
+      | b.example | /x/1      | b.example/x/  |
+      | b.example | /y/1      |               |
+      | c.example | /x/1      |               |
+
+  Scenario Outline: Which entries of the list count
+    Given a directory of servers "s1@10 s2@20"
+    When the list <change>
+    Then the directory holds "<servers>"
+
+    Examples:
+      | change                                             | servers     |
+      | shows "s1@10 s2@20 s3@30"                          | s1@10 s2@20 s3@30 |
+      | shows "s1@10"                                      | s1@10       |
+      | shows "s1@11 s2@20"                                | s1@11 s2@20 |
+      | shows "s1@9 s2@20"                                 | s1@10 s2@20 |
+      | is back after an outage and shows "s1@10"          | s1@10 s2@20 |
+      | is back after an outage and shows "s1@10" for 3 s  | s1@10       |
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -15,7 +15,7 @@
   SECRET_KIND,
   type HostRecord,
 } from './group.js';
-export { MESSAGE, type HostState, type PullAnswer } from './messages.js';
+export { MESSAGE, type ChangesMessage, type HostState, type PullAnswer } from './messages.js';
 export { createOrderDuty, type OrderDuty, type OrderDutyOptions } from './orders.js';
 export { createQuotas, type Quotas, type QuotasOptions, type QuotaTolerance } from './quotas.js';
 export { createSource, type Source, type SourceOptions } from './source.js';
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -73,7 +73,8 @@
   return error instanceof Error && 'progress' in error && 'fault' in error;
 }
 
-function createExchangeError(
+/** Creates the error of an exchange that did not bring a whole answer. */
+export function createExchangeError(
   cause: unknown,
   progress: Progress,
   fault: ExchangeFault,
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -12,6 +12,7 @@
 } from './engine.js';
 export {
   createConnections,
+  createExchangeError,
   exchange,
   EXCHANGE_FAULT,
   isExchangeError,
