--- a/packages/store/test/adapters.ts
+++ b/packages/store/test/adapters.ts
@@ -1,5 +1,6 @@
 /** Adapters under the contract, each opened on a fresh platform whose faults a test can choose. */
 import { createSystemClock } from '@bulrushspar/clock';
+import { createPlatformStore } from '@bulrushspar/platform';
 import {
   createHttpHostList,
   createHttpObjectStore,
@@ -10,6 +11,7 @@
   type WeightStore,
 } from '@bulrushspar/store';
 import { startHosts, startObjects, startWeights, type StoreFault } from '@bulrushspar/standins';
+import { startStore } from '../../../platform/test/standin.js';
 
 /** Time allowed for a call, in milliseconds. */
 export const CALL_MILLISECONDS = 300;
@@ -92,9 +94,25 @@
   };
 }
 
+async function openPlatformStore(): Promise<StoreUnderTest> {
+  const standin = await startStore();
+  const store = createPlatformStore(standin.address, { callMilliseconds: CALL_MILLISECONDS });
+  return {
+    store,
+    failWrites: standin.failWrites,
+    slowDown: standin.slowDown,
+    shutDown: standin.close,
+    close: async () => {
+      await store.close();
+      await standin.close();
+    },
+  };
+}
+
 /** Object stores by the names in the examples. */
 export const STORES: Readonly<Record<string, () => Promise<StoreUnderTest>>> = {
   http: openHttpStore,
+  platform: openPlatformStore,
 };
 
 /** Host lists by the names in the examples. */
--- a/packages/store/test/contract.feature
+++ b/packages/store/test/contract.feature
@@ -12,6 +12,7 @@
     Examples:
       | adapter |
       | http    |
+      | platform    |
 
   Scenario Outline: A watch brings every change after its version, in order
     Given the object store adapter "<adapter>"
@@ -23,6 +24,7 @@
     Examples:
       | adapter |
       | http    |
+      | platform    |
 
   Scenario Outline: A call without an answer says what is known of its effect
     Given the object store adapter "<adapter>"
@@ -33,10 +35,15 @@
     Examples:
       | adapter | fault                  | effect  | written |
       | http    | refuses connections on | none    | no      |
+      | platform    | refuses connections on | none    | no      |
       | http    | answers 503 to         | unknown | no      |
+      | platform    | answers 503 to         | none | no      |
       | http    | loses                  | unknown | no      |
+      | platform    | loses                  | unknown | no      |
       | http    | loses the answer to    | unknown | yes     |
+      | platform    | loses the answer to    | unknown | yes     |
       | http    | is too slow for        | unknown | yes     |
+      | platform    | is too slow for        | unknown | yes     |
 
   Scenario Outline: A write is settled through lost answers
     Given the object store adapter "<adapter>"
@@ -47,12 +54,19 @@
     Examples:
       | adapter | contends      | lost | what    | outcome  | holder |
       | http    | does nothing  | 0    | answer  | written  | us     |
+      | platform    | does nothing  | 0    | answer  | written  | us     |
       | http    | does nothing  | 1    | answer  | written  | us     |
+      | platform    | does nothing  | 1    | answer  | written  | us     |
       | http    | does nothing  | 3    | answer  | written  | us     |
+      | platform    | does nothing  | 3    | answer  | written  | us     |
       | http    | does nothing  | 2    | request | written  | us     |
+      | platform    | does nothing  | 2    | request | written  | us     |
       | http    | wrote before  | 0    | answer  | conflict | other  |
+      | platform    | wrote before  | 0    | answer  | conflict | other  |
       | http    | wrote before  | 2    | answer  | conflict | other  |
+      | platform    | wrote before  | 2    | answer  | conflict | other  |
       | http    | wrote before  | 2    | request | conflict | other  |
+      | platform    | wrote before  | 2    | request | conflict | other  |
 
   Scenario Outline: A write that cannot be settled says so
     Given the object store adapter "<adapter>"
@@ -62,8 +76,11 @@
     Examples:
       | adapter | fails               | outcome     |
       | http    | loses its answer    | unknown     |
+      | platform    | loses its answer    | unknown     |
       | http    | loses its request   | unknown     |
+      | platform    | loses its request   | unknown     |
       | http    | cannot connect      | not-written |
+      | platform    | cannot connect      | not-written |
 
   Scenario Outline: The host list shows hosts with their addresses and states
     Given the host list adapter "<adapter>"
