Refuse waits that no plan holds; tell waiting hosts when a new giver of orders may begin

A wanted model without a place was told on as ready at once, and during a handover nobody told anything.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,6 +33,8 @@
   files: ['packages/*/test/**', 'platform/test/**'],
   rules: {
     'import-x/no-extraneous-dependencies': 'off',
+    // Stand-ins of the platform speak its protocol, so they live beside its adapter.
+    'import-x/no-relative-packages': 'off',
     'n/no-unsupported-features/node-builtins': 'off',
   },
 };
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -142,6 +142,7 @@
     logger,
     holder: self.host,
     fencing: lease.acts,
+    ordersIn: () => (lease.held() === undefined ? undefined : lease.actsIn()),
     profile: (service) => configuration()?.services.get(service)?.engine,
     demand,
     inUse,
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -35,6 +35,8 @@
    * instead of held where the doers must not follow each other too closely.
    */
   acts(): number | undefined;
+  /** Milliseconds until the duty that is held may be acted on; 0 where it may be now. */
+  actsIn(): number;
   /** Host that had the duty before this one; undefined where there was none. */
   former(): string | undefined;
   /** Milliseconds since the last renewal that the store has confirmed; infinite without the duty. */
@@ -105,12 +107,14 @@
     renewed && renewed.since() < termMilliseconds ? renewed.fencing : undefined;
 
   /** Another host may have acted so lately that this one must wait. */
-  const inHandover = (): boolean => {
-    if (formerHost === undefined || formerHost === self.host || !sinceTaken) return false;
+  const actsIn = (): number => {
+    if (formerHost === undefined || formerHost === self.host || !sinceTaken) return 0;
     const since = sinceFormerAct(formerHost, formerFencing) ?? sinceTaken();
-    return Math.max(since, sinceTaken()) < handoverMilliseconds;
+    return Math.max(0, handoverMilliseconds - Math.max(since, sinceTaken()));
   };
 
+  const inHandover = (): boolean => actsIn() > 0;
+
   const tell = (): void => {
     const now = held() !== undefined;
     if (now !== told) onChange(now);
@@ -186,6 +190,7 @@
   return {
     held,
     acts: () => (inHandover() ? undefined : held()),
+    actsIn,
     former: () => formerHost,
     sinceRenewed: () => renewed?.since() ?? Number.POSITIVE_INFINITY,
     abandon: () => {
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -45,6 +45,11 @@
   readonly logger: Logger;
   readonly holder: string;
   readonly fencing: () => number | undefined;
+  /**
+   * Milliseconds until this host may give orders: 0 while it may, more while it takes the duty
+   * over, undefined while another host has it.
+   */
+  readonly ordersIn: () => number | undefined;
   readonly profile: (service: string) => EngineProfile | undefined;
   readonly demand: Demand;
   readonly inUse: (server: string, model: string) => boolean;
@@ -63,7 +68,7 @@
 
 /** Creates the commander of one host; it gives no order while it has no fencing number. */
 export function createCommander(options: CommanderOptions): Commander {
-  const { clock, control, logger, fencing, profile, demand, inUse } = options;
+  const { clock, control, logger, fencing, ordersIn, profile, demand, inUse } = options;
   const { onOutlook = () => {}, onUnloading = () => {} } = options;
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
@@ -145,7 +150,11 @@
       });
   };
 
-  const planService = (service: string, wants: readonly Want[]): Outlook[] => {
+  const planService = (
+    service: string,
+    wants: readonly Want[],
+    ordersInMilliseconds: number,
+  ): Outlook[] => {
     const engine = profile(service)!;
     const usable = [...books.values()].filter(
       ({ entry }) => entry.service === service && !entry.leaving,
@@ -167,9 +176,10 @@
     const missing = known.filter(({ model }) => !resident(model) && !underWay.has(model));
     const servers = usable.map((book) => {
       const view = viewForPlan(book, { clock, profile: engine, inUse });
-      return starting.has(view.id)
-        ? { ...view, busyMilliseconds: Math.max(1, view.busyMilliseconds) }
-        : view;
+      const least = starting.has(view.id)
+        ? Math.max(1, ordersInMilliseconds)
+        : ordersInMilliseconds;
+      return { ...view, busyMilliseconds: Math.max(least, view.busyMilliseconds) };
     });
     const loads = planLoads({
       profile: engine,
@@ -193,12 +203,13 @@
     const token = fencing();
     if (token !== lastToken) books.forEach(reopenBook);
     lastToken = token;
-    if (token === undefined) return;
+    const wait = ordersIn();
+    if (wait === undefined) return;
     books.forEach((book) => checkAgainstEntry(book, clock));
     const wants = mergeWants();
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
-    outlook = engines.flatMap((service) => planService(service, wants));
+    outlook = engines.flatMap((service) => planService(service, wants, wait));
     if (outlook.length > 0) onOutlook(outlook, [...wantsByHost.keys()]);
   };
 
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -187,6 +187,7 @@
     logger: silent,
     holder: 'host-1',
     fencing: () => (world.leads ? 7 : undefined),
+    ordersIn: () => (world.leads ? 0 : undefined),
     profile: () => PROFILE,
     demand: createDemand({ clock }),
     inUse: () => false,
--- a/packages/serving/src/waits.ts
+++ b/packages/serving/src/waits.ts
@@ -6,6 +6,8 @@
   READY: 'ready',
   /** The model will not be ready in time. */
   TOO_LATE: 'too-late',
+  /** No server can take the model now. */
+  NO_PLACE: 'no-place',
   /** Nobody gives orders to servers now. */
   NO_COMMANDER: 'no-commander',
   GONE: 'gone',
@@ -47,6 +49,8 @@
   readonly onWant?: () => void;
   /** Time without any word about a model after which its requests are refused, in milliseconds. */
   readonly silenceMilliseconds?: number;
+  /** Time for which a model may be in no plan before its requests are refused, in milliseconds. */
+  readonly unplannedMilliseconds?: number;
 }
 
 /** Time that serving takes once the model is ready; a wait must leave at least this. */
@@ -61,10 +65,14 @@
 /** Creates the waits of one host. */
 export function createModelWaits(options: ModelWaitsOptions): ModelWaits {
   const { clock, onWant = () => {}, silenceMilliseconds = 1500 } = options;
+  const { unplannedMilliseconds = 400 } = options;
   const waiters = new Map<string, Set<Waiter>>();
   /** When something was last heard about a model, or it was first waited for. */
   const heardAt = new Map<string, number>();
 
+  /** Since when no server could take a model, as the giver of orders says. */
+  const unplannedSince = new Map<string, number>();
+
   const leftOf = ({ request, since }: Waiter): number =>
     request.remainingMilliseconds - (clock.monotonic() - since);
 
@@ -104,6 +112,22 @@
       onWant();
     });
 
+  const noteReadyAt = (waiting: ReadonlySet<Waiter>, readyMilliseconds: number): void => {
+    [...waiting].forEach((waiter) => {
+      if (readyMilliseconds + SERVING_MILLISECONDS <= leftOf(waiter)) return;
+      waiter.settle({ end: WAIT_END.TOO_LATE, readyMilliseconds });
+    });
+  };
+
+  /** Plans change many times a second: a model that is in none of them for longer has no place. */
+  const noteUnplanned = (model: string, waiting: ReadonlySet<Waiter>): void => {
+    const since = unplannedSince.get(model) ?? clock.monotonic();
+    unplannedSince.set(model, since);
+    if (clock.monotonic() - since < unplannedMilliseconds) return;
+    unplannedSince.delete(model);
+    [...waiting].forEach(({ settle }) => settle({ end: WAIT_END.NO_PLACE }));
+  };
+
   return {
     wait,
     noteReady: (isReady) => {
@@ -117,11 +141,11 @@
         const waiting = waiters.get(model);
         if (!waiting) return;
         heardAt.set(model, clock.monotonic());
-        [...waiting].forEach((waiter) => {
-          const needed = (readyMilliseconds ?? 0) + SERVING_MILLISECONDS;
-          if (needed <= leftOf(waiter)) return;
-          waiter.settle({ end: WAIT_END.TOO_LATE, readyMilliseconds });
-        });
+        if (readyMilliseconds === undefined) noteUnplanned(model, waiting);
+        else {
+          unplannedSince.delete(model);
+          noteReadyAt(waiting, readyMilliseconds);
+        }
       });
     },
     wants: () =>
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -73,6 +73,7 @@
       | says                                  | most |
       | is not there                          | 1600 |
       | says that it will be ready in 20000 ms | 200  |
+      | says that no server has room           | 1000 |
 
   Scenario: A refused request costs no quota
     Given a once route
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -29,7 +29,8 @@
   atWork: number;
   loaded: boolean;
   quota: number | undefined;
-  outlookMilliseconds: number | undefined;
+  /** What the giver of orders says about the model; undefined where there is none. */
+  outlook: { readonly readyMilliseconds?: number } | undefined;
   reply: RecordedReply;
   took: number;
 }
@@ -178,9 +179,10 @@
   const admission = createAdmission({ bucketOf: () => bucket, random: () => 0 });
   admission.update(configuration(world));
   const answer = (waits: ModelWaits): void => {
-    if (world.outlookMilliseconds === undefined) return;
-    const readyMilliseconds = world.outlookMilliseconds;
-    clock.after(10, () => waits.noteOutlook([{ model: 'm', readyMilliseconds }]));
+    const { outlook } = world;
+    if (!outlook) return;
+    waits.noteOutlook([{ model: 'm', ...outlook }]);
+    if (clock.monotonic() < LONGEST_MILLISECONDS) clock.after(100, () => answer(waits));
   };
   const waits: ModelWaits = createModelWaits({ clock, onWant: () => answer(waits) });
   const counted = world;
@@ -248,7 +250,7 @@
 
 Before('@serving', function reset(this: ServingWorld) {
   const empty = { sends: 0, atWork: 0, loaded: true, quota: undefined };
-  Object.assign(this, { clock: createManualClock(), outlookMilliseconds: undefined, ...empty });
+  Object.assign(this, { clock: createManualClock(), outlook: undefined, ...empty });
 });
 
 Given(
@@ -285,9 +287,10 @@
 });
 
 Given(
-  /^the giver of orders (?:is not there|says that it will be ready in (\d+) ms)$/,
-  function outlook(this: ServingWorld, milliseconds: string | null) {
-    if (milliseconds) this.outlookMilliseconds = Number(milliseconds);
+  /^the giver of orders (?:is not there|says that (?:it will be ready in (\d+) ms|(no server) has room))$/,
+  function outlook(this: ServingWorld, milliseconds: string | null, none: string | null) {
+    if (milliseconds) this.outlook = { readyMilliseconds: Number(milliseconds) };
+    if (none) this.outlook = {};
   },
 );
 
