--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -227,7 +227,7 @@
     control: options.control,
     demand,
     configuration: () => configuration,
-    inUse: gossip.inUse,
+    running: gossip.running,
     handoverMilliseconds: bounds.handoverMilliseconds,
     othersReachStore: gossip.othersReachStore,
     rank: () => links().filter(({ peer }) => peer.host < host.name).length,
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -15,8 +15,8 @@
   /** Counts a request of this host for a model. */
   noteAsked(model: string, credit: number): void;
   forget(host: string): void;
-  /** Tells whether requests of any host run with a model on a server. */
-  inUse(server: string, model: string): boolean;
+  /** Requests of all hosts that run on a server, by model. */
+  running(server: string): ReadonlyMap<string, number>;
   /** Tells whether the store answers another host that this one hears. */
   othersReachStore(): boolean;
   /** Hosts with a better rank that watch a kind in the store. */
@@ -117,9 +117,16 @@
         ([host, { kinds, since }]) =>
           host < self && kinds.includes(kind) && since() < WATCHING_MILLISECONDS,
       ).length,
-    inUse: (server, model) => {
-      if ((servers.get(server)?.outstandingByModel.get(model) ?? 0) > 0) return true;
-      return [...running.values()].some((byServer) => (byServer[server]?.[model] ?? 0) > 0);
+    running: (server) => {
+      const counts = new Map(
+        [...(servers.get(server)?.outstandingByModel ?? [])].filter(([, count]) => count > 0),
+      );
+      running.forEach((byServer) =>
+        Object.entries(byServer[server] ?? {}).forEach(([model, count]) =>
+          counts.set(model, (counts.get(model) ?? 0) + count),
+        ),
+      );
+      return counts;
     },
   };
 }
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -34,7 +34,8 @@
   readonly control: EngineControl;
   readonly demand: Demand;
   readonly configuration: () => FleetConfiguration | undefined;
-  readonly inUse: (server: string, model: string) => boolean;
+  /** Requests of all hosts that run on a server, by model. */
+  readonly running: (server: string) => ReadonlyMap<string, number>;
   /** Called with when models will be ready, and the hosts that wait for them. */
   readonly onOutlook: (outlook: readonly Outlook[], hosts: readonly string[]) => void;
   /** Called before a server is told to unload a model. */
@@ -66,7 +67,7 @@
 
 /** Creates the duty of one host; it gives no order until it runs and holds the lease. */
 export function createOrderDuty(options: OrderDutyOptions): OrderDuty {
-  const { store, clock, logger, self, demand, configuration, inUse } = options;
+  const { store, clock, logger, self, demand, configuration, running } = options;
   const { onOutlook, onUnloading, handoverMilliseconds, rank, othersReachStore } = options;
   /** What each host last said of its lease. */
   const heard = new Map<string, Heard>();
@@ -145,7 +146,7 @@
     ordersIn: () => (lease.held() === undefined ? undefined : lease.actsIn()),
     profile: (service) => configuration()?.services.get(service)?.engine,
     demand,
-    inUse,
+    running,
     onOutlook,
     onUnloading,
   });
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -33,8 +33,8 @@
 export interface ViewOptions {
   readonly clock: Clock;
   readonly profile: EngineProfile;
-  /** Tells whether requests run with a model on a server. */
-  readonly inUse: (server: string, model: string) => boolean;
+  /** Requests of all hosts that run on a server, by model. */
+  readonly running: (server: string) => ReadonlyMap<string, number>;
 }
 
 /** Time that a loaded model is kept for the requests that waited for it. */
@@ -177,9 +177,10 @@
 
 /** Shows a server to the planner. */
 export function viewForPlan(book: ServerBook, options: ViewOptions): PlannedServer {
-  const { clock, profile, inUse } = options;
+  const { clock, profile } = options;
   const now = clock.monotonic();
   const { underWay, entry } = book;
+  const running = options.running(entry.id);
   const remaining = underWay
     ? Math.max(1, underWay.begunAt + underWay.expectedMilliseconds - now)
     : 0;
@@ -188,11 +189,12 @@
     models: [...book.models].map(([name, adapters]) => ({
       name,
       adapters: adapters.size,
-      inUse: inUse(entry.id, name),
+      inUse: (running.get(name) ?? 0) > 0,
       fresh: now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
     })),
     doubtfulMegabytes: doubtfulMegabytes(book, profile),
     busyMilliseconds: Math.max(remaining, book.notBefore - now, 0),
+    running: [...running.values()].reduce((sum, count) => sum + count, 0),
     inMemory: new Set(entry.inMemory),
     onDisk: new Set(entry.onDisk),
   };
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -16,6 +16,7 @@
 import { OPERATION, type EngineControl } from './engine.js';
 import { createIssuer } from './issue.js';
 import { planLoads, type PlannedLoad, type Want } from './plan.js';
+import { findReplicaNeeds } from './replicas.js';
 
 /** When a wanted model will be ready. */
 export interface Outlook {
@@ -52,7 +53,8 @@
   readonly ordersIn: () => number | undefined;
   readonly profile: (service: string) => EngineProfile | undefined;
   readonly demand: Demand;
-  readonly inUse: (server: string, model: string) => boolean;
+  /** Requests of all hosts that run on a server, by model. */
+  readonly running: (server: string) => ReadonlyMap<string, number>;
   /** Called after each plan with when wanted models will be ready, and the hosts that wait. */
   readonly onOutlook?: (outlook: readonly Outlook[], hosts: readonly string[]) => void;
   /** Called before a server is told to unload a model. */
@@ -68,7 +70,7 @@
 
 /** Creates the commander of one host; it gives no order while it has no fencing number. */
 export function createCommander(options: CommanderOptions): Commander {
-  const { clock, control, logger, fencing, ordersIn, profile, demand, inUse } = options;
+  const { clock, control, logger, fencing, ordersIn, profile, demand, running } = options;
   const { onOutlook = () => {}, onUnloading = () => {} } = options;
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
@@ -115,16 +117,22 @@
     return [...merged.values()];
   };
 
-  const coldLoadsLeft = (engine: EngineProfile): number => {
+  /** Loads out of the weight store that may begin now, and when the next one may. */
+  const coldLoads = (engine: EngineProfile) => {
     const oldest = clock.monotonic() - WINDOW_MILLISECONDS;
     coldBegun = coldBegun.filter((at) => at > oldest);
     const allowed = (engine.coldLoadsPerSecond * WINDOW_MILLISECONDS) / MILLISECONDS_PER_SECOND;
-    const running = [...books.values()].filter(
-      ({ underWay, entry }) =>
-        underWay?.order.operation === OPERATION.LOAD &&
-        loadTime(entry, engine, underWay.order.model).cold,
-    ).length;
-    return Math.min(Math.floor(allowed) - coldBegun.length, COLD_LOADS_AT_ONCE - running);
+    const underWay = [...books.values()].flatMap(({ underWay: order, entry }) => {
+      if (order?.order.operation !== OPERATION.LOAD) return [];
+      if (!loadTime(entry, engine, order.order.model).cold) return [];
+      return [Math.max(0, order.begunAt + order.expectedMilliseconds - clock.monotonic())];
+    });
+    const left = Math.min(
+      Math.floor(allowed) - coldBegun.length,
+      COLD_LOADS_AT_ONCE - underWay.length,
+    );
+    const [first = WINDOW_MILLISECONDS] = underWay.sort((x, y) => x - y);
+    return { coldLoads: left, coldWaitMilliseconds: first };
   };
 
   const startLoad = (load: PlannedLoad): void => {
@@ -150,6 +158,16 @@
       });
   };
 
+  const replicaNeeds = (usable: readonly ServerBook[], { slots }: EngineProfile) =>
+    findReplicaNeeds(
+      usable.map(({ entry, models }) => ({
+        slots,
+        running: running(entry.id),
+        models: [...models.keys()],
+      })),
+      (model) => usable.some(({ underWay }) => underWay?.order.model === model),
+    );
+
   const planService = (
     service: string,
     wants: readonly Want[],
@@ -165,7 +183,7 @@
       const { entry } = book;
       const order = book.underWay?.order;
       if (order?.operation !== OPERATION.LOAD) return;
-      const view = viewForPlan(book, { clock, profile: engine, inUse });
+      const view = viewForPlan(book, { clock, profile: engine, running });
       underWay.set(order.model, {
         model: order.model,
         readyMilliseconds: view.busyMilliseconds,
@@ -175,7 +193,7 @@
     const resident = (model: string): boolean => usable.some(({ models }) => models.has(model));
     const missing = known.filter(({ model }) => !resident(model) && !underWay.has(model));
     const servers = usable.map((book) => {
-      const view = viewForPlan(book, { clock, profile: engine, inUse });
+      const view = viewForPlan(book, { clock, profile: engine, running });
       const least = starting.has(view.id)
         ? Math.max(1, ordersInMilliseconds)
         : ordersInMilliseconds;
@@ -187,7 +205,8 @@
       wants: missing,
       creditPerSecond: demand.creditPerSecond,
       idleMilliseconds: demand.idleMilliseconds,
-      coldLoads: coldLoadsLeft(engine),
+      replicas: replicaNeeds(usable, engine),
+      ...coldLoads(engine),
     });
     loads.filter(({ startsNow }) => startsNow).forEach(startLoad);
     const byModel = new Map(loads.map((load) => [load.model, load]));
@@ -228,7 +247,7 @@
   };
 
   const stopPlanning: Stop = every(clock, PLAN_MILLISECONDS, () => {
-    if (wantsByHost.size > 0) planSoon();
+    planSoon();
   });
 
   return {
--- a/packages/loading/src/index.ts
+++ b/packages/loading/src/index.ts
@@ -21,5 +21,7 @@
   type PlannedLoad,
   type PlannedModel,
   type PlannedServer,
+  type ReplicaNeed,
   type Want,
 } from './plan.js';
+export { findReplicaNeeds, type LoadedServer } from './replicas.js';
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -11,6 +11,13 @@
   readonly objectiveMilliseconds: number;
 }
 
+/** A model whose servers have so much work that another copy is worth its price. */
+export interface ReplicaNeed {
+  readonly model: string;
+  /** Requests that another copy would take over. */
+  readonly count: number;
+}
+
 /** A model on a server, as the planner sees it. */
 export interface PlannedModel {
   readonly name: string;
@@ -29,6 +36,8 @@
   readonly doubtfulMegabytes: number;
   /** Milliseconds until the order under way is done; 0 where there is none. */
   readonly busyMilliseconds: number;
+  /** Requests that run or wait there. */
+  readonly running: number;
   readonly inMemory: ReadonlySet<string>;
   readonly onDisk: ReadonlySet<string>;
 }
@@ -38,11 +47,15 @@
   readonly profile: EngineProfile;
   readonly servers: readonly PlannedServer[];
   readonly wants: readonly Want[];
+  /** Placed after all wants. */
+  readonly replicas?: readonly ReplicaNeed[];
   /** Credit lost each second while a model is on no server. */
   readonly creditPerSecond: (model: string) => number;
   readonly idleMilliseconds: (model: string) => number;
   /** Loads out of the weight store that may begin now. */
   readonly coldLoads: number;
+  /** Milliseconds until another one may begin once these are used up. */
+  readonly coldWaitMilliseconds?: number;
 }
 
 /** Where a model will be loaded, and when it will be ready. */
@@ -68,6 +81,10 @@
 const EVICTION_MILLISECONDS = 2000;
 /** Delay that a request which is not served counts as, in milliseconds. */
 const MISSED_MILLISECONDS = 10_000;
+/** Delay that another copy spares a request which it takes over, in milliseconds. */
+const SPARED_MILLISECONDS = 500;
+/** Cost of a request that already runs where another copy is placed, in milliseconds. */
+const RUNNING_MILLISECONDS = 100;
 /** What an eviction costs beside the requests to the victim: an order and its time. */
 const UNLOAD_COST = 0.02;
 /** Cost of a victim with running requests, which hold the load up. */
@@ -81,6 +98,16 @@
   readonly readyMilliseconds: number;
   readonly cost: number;
   readonly cold: boolean;
+  /** Waits for a load out of the weight store to end. */
+  readonly waits: boolean;
+}
+
+/** What a load is worth. */
+interface Weights {
+  /** Requests that it serves. */
+  readonly count: number;
+  /** Delay that each of them counts without it, in milliseconds. */
+  readonly missedMilliseconds: number;
 }
 
 interface Occupancy {
@@ -114,7 +141,8 @@
  * that has it ready soonest, counting what the evicted models are worth.
  */
 export function planLoads(input: PlanInput): readonly PlannedLoad[] {
-  const { profile, servers, wants, creditPerSecond, idleMilliseconds } = input;
+  const { profile, servers, wants, replicas = [], creditPerSecond, idleMilliseconds } = input;
+  const { coldWaitMilliseconds = Infinity } = input;
   const occupancy = new Map<string, Occupancy>(
     servers.map((server) => [
       server.id,
@@ -168,40 +196,41 @@
     return best;
   };
 
+  /** Time until a load out of the weight store may begin, behind those planned before. */
+  const coldWait = (): number =>
+    coldLoads >= 1 ? 0 : coldWaitMilliseconds * (1 + Math.max(0, -coldLoads));
+
   const weigh = (
     server: PlannedServer,
     model: ModelProfile,
-    count: number,
+    { count, missedMilliseconds }: Weights,
   ): Candidate | undefined => {
     const { busyMilliseconds } = occupancy.get(server.id)!;
     const { time, cold } = loadMilliseconds(server, model);
-    if (cold && coldLoads < 1) return undefined;
+    const wait = cold ? coldWait() : 0;
+    if (wait === Infinity) return undefined;
     const victims = chooseVictims(server, model);
     if (!victims) return undefined;
     const unloading = victims.reduce(
       (sum, { inUse }) => sum + UNLOAD_MILLISECONDS + (inUse ? IN_USE_MILLISECONDS : 0),
       0,
     );
-    const readyMilliseconds = busyMilliseconds + unloading + time;
+    const readyMilliseconds = Math.max(busyMilliseconds, wait) + unloading + time;
     const lost = victims.reduce((sum, victim) => sum + worthOf(victim), 0);
-    if (lost * EVICTION_MILLISECONDS > count * MISSED_MILLISECONDS) return undefined;
+    if (lost * EVICTION_MILLISECONDS > count * missedMilliseconds) return undefined;
     return {
       server,
       victims,
       readyMilliseconds,
       cold,
+      waits: wait > 0,
       cost: readyMilliseconds * count + lost * EVICTION_MILLISECONDS,
     };
   };
 
-  const place = (want: Want): PlannedLoad[] => {
-    const model = profile.models.get(want.model);
-    if (!model) return [];
-    const candidates = servers.flatMap((server) => weigh(server, model, want.count) ?? []);
-    if (candidates.length === 0) return [];
-    const best = candidates.reduce((a, b) => (b.cost < a.cost ? b : a));
+  const reserve = (best: Candidate, model: ModelProfile): PlannedLoad => {
     const state = occupancy.get(best.server.id)!;
-    const startsNow = !state.planned && state.busyMilliseconds === 0;
+    const startsNow = !state.planned && state.busyMilliseconds === 0 && !best.waits;
     state.planned = true;
     state.busyMilliseconds = best.readyMilliseconds;
     state.models = [
@@ -209,17 +238,46 @@
       { name: model.name, adapters: 0, inUse: true, fresh: true },
     ];
     if (best.cold) coldLoads -= 1;
-    return [
-      {
-        model: model.name,
-        server: best.server.id,
-        victims: best.victims.map(({ name }) => name),
-        readyMilliseconds: best.readyMilliseconds,
-        cold: best.cold,
-        startsNow,
-      },
-    ];
+    return {
+      model: model.name,
+      server: best.server.id,
+      victims: best.victims.map(({ name }) => name),
+      readyMilliseconds: best.readyMilliseconds,
+      cold: best.cold,
+      startsNow,
+    };
+  };
+
+  const cheapest = (candidates: readonly Candidate[]): Candidate | undefined =>
+    candidates.length === 0 ? undefined : candidates.reduce((a, b) => (b.cost < a.cost ? b : a));
+
+  const place = (want: Want): PlannedLoad[] => {
+    const model = profile.models.get(want.model);
+    if (!model) return [];
+    const weights = { count: want.count, missedMilliseconds: MISSED_MILLISECONDS };
+    const best = cheapest(servers.flatMap((server) => weigh(server, model, weights) ?? []));
+    return best ? [reserve(best, model)] : [];
+  };
+
+  /** Another copy goes to a server that has little to do and needs no cold load for it. */
+  const placeReplica = ({ model: name, count }: ReplicaNeed): PlannedLoad[] => {
+    const model = profile.models.get(name);
+    if (!model) return [];
+    const weights = { count, missedMilliseconds: SPARED_MILLISECONDS };
+    const free = servers.filter(({ id, models }) => {
+      const { planned, busyMilliseconds } = occupancy.get(id)!;
+      return !planned && busyMilliseconds === 0 && !models.some((held) => held.name === name);
+    });
+    const candidates = free.flatMap((server) => {
+      const candidate = weigh(server, model, weights);
+      if (!candidate || candidate.cold) return [];
+      return [
+        { ...candidate, cost: candidate.cost + server.running * count * RUNNING_MILLISECONDS },
+      ];
+    });
+    const best = cheapest(candidates);
+    return best ? [reserve(best, model)] : [];
   };
 
-  return [...wants].sort(compareWants).flatMap(place);
+  return [...[...wants].sort(compareWants).flatMap(place), ...replicas.flatMap(placeReplica)];
 }
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -190,7 +190,7 @@
     ordersIn: () => (world.leads ? 0 : undefined),
     profile: () => PROFILE,
     demand: createDemand({ clock }),
-    inUse: () => false,
+    running: () => new Map(),
   });
   commander.setServers(new Map([['s1', engine.entry()]]));
   Object.assign(world, { commander });
--- a/packages/loading/test/plan.feature
+++ b/packages/loading/test/plan.feature
@@ -84,3 +84,46 @@
       | b2    | 9    |
     When 1 request waits for "new"
     Then nothing is loaded
+
+  Scenario Outline: Which models need another copy
+    Given servers of 64 slots where "<running>" run
+    Then "<models>" need another copy
+
+    Examples: written as model:requests, servers apart by commas
+      | running                     | models |
+      | busy:3, idle:1              |        |
+      | busy:20, idle:1             | busy   |
+      | busy:20, busy:3             |        |
+      | busy:20, busy:20            | busy   |
+      | busy:20 idle:2, rare:1      | busy   |
+      | busy:9 b1:15, idle:0        | b1     |
+
+  Scenario: Demand that moved to one model: its only server is crowded
+    Given servers that hold
+      | server | models         | memory | disk | running |
+      | s1     | busy idle rare |        |      | 40      |
+      | s2     | b1 b2 idle     |        | busy | 30      |
+      | s3     | rare n1 n2     |        | busy | 2       |
+      | s4     | rare n1 n2     |        |      | 0       |
+    And servers of 64 slots where "busy:40 idle:0 rare:0" run
+    And requests a second
+      | model | rate |
+      | b1    | 9    |
+      | b2    | 9    |
+      | rare  | 0.1  |
+      | n1    | 0.05 |
+      | n2    | 0.07 |
+    When nobody waits for a model
+    Then it is loaded at "s3" in place of "n1", ready in 860 ms
+
+  Scenario: A load out of the weight store waits for its turn instead of being given up
+    Given servers that hold
+      | server | models | memory | disk |
+      | s1     |        |        |      |
+      | s2     |        |        |      |
+    And 1 load out of the weight store may begin, the next after 3000 ms
+    When one request waits for each of "n1 n2", the oldest first
+    Then the loads are shared out as
+      | model | ready | starts |
+      | n1    | 6000  | yes    |
+      | n2    | 9000  | no     |
--- a/packages/loading/test/plan.ts
+++ b/packages/loading/test/plan.ts
@@ -2,12 +2,21 @@
 import assert from 'node:assert/strict';
 import { Before, Given, Then, When, type DataTable } from '@cucumber/cucumber';
 import type { EngineProfile, ModelProfile } from '@bulrushspar/catalogue';
-import { planLoads, type PlannedLoad, type PlannedServer, type Want } from '@bulrushspar/loading';
+import {
+  findReplicaNeeds,
+  planLoads,
+  type PlannedLoad,
+  type PlannedServer,
+  type ReplicaNeed,
+  type Want,
+} from '@bulrushspar/loading';
 
 interface PlanWorld {
   servers: PlannedServer[];
   rates: Map<string, number>;
   coldLoads: number;
+  coldWaitMilliseconds: number | undefined;
+  replicas: readonly ReplicaNeed[];
   loads: readonly PlannedLoad[];
 }
 
@@ -34,11 +43,16 @@
 };
 
 Before('@plan', function reset(this: PlanWorld) {
-  Object.assign(this, { rates: new Map(), coldLoads: 4 });
+  Object.assign(this, {
+    rates: new Map(),
+    coldLoads: 4,
+    replicas: [],
+    coldWaitMilliseconds: undefined,
+  });
 });
 
 Given('servers that hold', function hold(this: PlanWorld, table: DataTable) {
-  this.servers = table.hashes().map(({ server, models, memory, disk }) => ({
+  this.servers = table.hashes().map(({ server, models, memory, disk, running }) => ({
     id: server!,
     models: words(models!).map((word) => ({
       name: word.replace('!', ''),
@@ -48,6 +62,7 @@
     })),
     doubtfulMegabytes: 0,
     busyMilliseconds: 0,
+    running: Number(running ?? 0),
     inMemory: new Set(words(memory!)),
     onDisk: new Set(words(disk!)),
   }));
@@ -58,9 +73,10 @@
 });
 
 Given(
-  /^(\d+) loads? out of the weight store may begin$/,
-  function limit(this: PlanWorld, count: string) {
+  /^(\d+) loads? out of the weight store may begin(?:, the next after (\d+) ms)?$/,
+  function limit(this: PlanWorld, count: string, milliseconds: string | null) {
     this.coldLoads = Number(count);
+    if (milliseconds) this.coldWaitMilliseconds = Number(milliseconds);
   },
 );
 
@@ -72,7 +88,9 @@
       wants,
       creditPerSecond: (model) => world.rates.get(model) ?? 0,
       idleMilliseconds: () => Infinity,
+      replicas: world.replicas,
       coldLoads: world.coldLoads,
+      coldWaitMilliseconds: world.coldWaitMilliseconds,
     }),
   });
 }
@@ -140,3 +158,30 @@
     assert.ok(readyAt(first) < readyAt(second));
   },
 );
+
+Given(
+  'servers of {int} slots where {string} run',
+  function crowd(this: PlanWorld, slots: number, list: string) {
+    const loaded = list.split(', ').map((text) => {
+      const running = new Map(
+        words(text).map((part): [string, number] => {
+          const [model = '', count] = part.split(':');
+          return [model, Number(count)];
+        }),
+      );
+      return { slots, running, models: [...running.keys()] };
+    });
+    this.replicas = findReplicaNeeds(loaded, () => false);
+  },
+);
+
+Then('{string} need another copy', function check(this: PlanWorld, models: string) {
+  assert.deepEqual(
+    this.replicas.map(({ model }) => model),
+    words(models),
+  );
+});
+
+When('nobody waits for a model', function none(this: PlanWorld) {
+  plan(this, []);
+});
