--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -231,13 +231,16 @@
   const reserve = (best: Candidate, model: ModelProfile): PlannedLoad => {
     const state = occupancy.get(best.server.id)!;
     const startsNow = !state.planned && state.busyMilliseconds === 0 && !best.waits;
-    state.planned = true;
-    state.busyMilliseconds = best.readyMilliseconds;
-    state.models = [
-      ...state.models.filter((resident) => !best.victims.includes(resident)),
-      { name: model.name, adapters: 0, inUse: true, fresh: true },
-    ];
     if (best.cold) coldLoads -= 1;
+    // A load that waits for the weight store leaves its server to others meanwhile.
+    if (!best.waits) {
+      state.planned = true;
+      state.busyMilliseconds = best.readyMilliseconds;
+      state.models = [
+        ...state.models.filter((resident) => !best.victims.includes(resident)),
+        { name: model.name, adapters: 0, inUse: true, fresh: true },
+      ];
+    }
     return {
       model: model.name,
       server: best.server.id,
--- a/packages/loading/test/plan.feature
+++ b/packages/loading/test/plan.feature
@@ -127,3 +127,14 @@
       | model | ready | starts |
       | n1    | 6000  | yes    |
       | n2    | 9000  | no     |
+
+  Scenario: A load that waits for the weight store does not keep others from its server
+    Given servers that hold
+      | server | models | memory | disk |
+      | s1     |        |        | n2   |
+    And 0 loads out of the weight store may begin, the next after 3000 ms
+    When one request waits for each of "n1 n2", the oldest first
+    Then the loads are shared out as
+      | model | ready | starts |
+      | n1    | 9000  | no     |
+      | n2    | 800   | yes    |
