Fetch models that no disk holds before anybody waits; another copy for an adapter

Cause: four and five models of the two sites are on no server's disk, so that their first requests waited 6 s behind at most four such loads; adapters were refused while their server loaded a model.

--- a/packages/loading/test/plan.feature
+++ b/packages/loading/test/plan.feature
@@ -138,3 +138,22 @@
       | model | ready | starts |
       | n1    | 9000  | no     |
       | n2    | 800   | yes    |
+
+  Scenario Outline: Models that no disk holds, while nobody waits
+    Given servers that hold
+      | server | models       | memory | disk       | running |
+      | s1     | busy idle b1 |        | rare n1 n2 | 0       |
+      | s2     | busy <room>  |        | b2 b3 late | <run>   |
+      | s3     | busy b1 b2   |        | ok new     | 0       |
+    And <cold> loads out of the weight store may begin
+    When nobody waits <when>
+    Then "<loads>" are fetched
+
+    Examples: written as model@server-victim
+      | when           | room  | run | cold | loads                   |
+      | before traffic | b3    | 0   | 4    | n3@s2 n4@s1-busy fresh@s3-busy |
+      | before traffic | b3    | 0   | 1    | n3@s2                |
+      | before traffic | b3 ok | 0   | 4    | n3@s1-busy n4@s2-busy fresh@s3-busy |
+      | in traffic     | b3    | 0   | 4    | n3@s2                |
+      | in traffic     | b3    | 3   | 4    |                         |
+      | in traffic     | b3 ok | 0   | 4    |                         |
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -172,28 +172,43 @@
     if (result.end !== WAIT_END.READY) throw refuseWait(result, model);
   };
 
+  const noAdapter = ({ model, adapter }: ModelNeed): Refusal =>
+    notRun(503, `adapter "${adapter}" of "${model}" is not loaded`, NO_PLACE_SECONDS);
+
   const noServer = (work: Work<SomeCall>): Refusal =>
     notRun(503, `no server of "${work.admitted.service}" takes the request`, NO_CAPACITY_SECONDS);
 
-  const prepareAdapter = async (state: ServerState, { model, adapter }: ModelNeed) => {
-    if (adapter === undefined || servers.holdsAdapter(state, model, adapter)) return;
-    if (!(await ensureAdapter(state.entry.id, model, adapter))) {
-      throw notRun(503, `adapter "${adapter}" of "${model}" is not loaded`, NO_CAPACITY_SECONDS);
-    }
+  /** @returns whether the server has the request's adapter now */
+  const prepareAdapter = async (state: ServerState, need: ModelNeed): Promise<boolean> => {
+    const { model, adapter } = need;
+    if (adapter === undefined || servers.holdsAdapter(state, model, adapter)) return true;
+    if (!(await ensureAdapter(state.entry.id, model, adapter))) return false;
     await clock.delay(ADAPTER_ARRIVAL_MILLISECONDS);
     state.adapters.set(`${model}/${adapter}`, clock.monotonic());
+    return true;
+  };
+
+  /** Chooses a server that has not had the request, or else one that can take it again. */
+  const chooseNext = async (work: Work<SomeCall>): Promise<ServerState> => {
+    const fresh = choose(work, false);
+    if (fresh) return fresh;
+    const again = choose(work, true);
+    if (!again) throw noServer(work);
+    await clock.delay(SAME_SERVER_MILLISECONDS);
+    return again;
   };
 
   const pick = async (work: Work<SomeCall>): Promise<ServerState> => {
     const { need } = work.call;
     if (need) await awaitModel(work, need);
-    let state = choose(work, false);
-    if (!state) {
-      state = choose(work, true);
-      if (!state) throw noServer(work);
-      await clock.delay(SAME_SERVER_MILLISECONDS);
+    const state = await chooseNext(work);
+    if (need && !(await prepareAdapter(state, need))) {
+      // A server that carries out a load takes no order for an adapter; another one may.
+      work.tried.add(state.entry.id);
+      const other = choose(work, false);
+      if (!other || !(await prepareAdapter(other, need))) throw noAdapter(need);
+      return other;
     }
-    if (need) await prepareAdapter(state, need);
     if (work.signal.aborted) throw work.signal.reason as Refusal;
     return state;
   };
