--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -189,7 +189,7 @@
     models: [...book.models].map(([name, adapters]) => ({
       name,
       adapters: adapters.size,
-      inUse: (running.get(name) ?? 0) > 0,
+      running: running.get(name) ?? 0,
       fresh: now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
     })),
     doubtfulMegabytes: doubtfulMegabytes(book, profile),
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -64,6 +64,10 @@
 
 /** Time between plans without news. */
 const PLAN_MILLISECONDS = 100;
+/** Requests a second from which on a model is loaded again before anybody waits for it. */
+const BUSY_RATE = 1;
+/** Time until somebody asks for a busy model that was lost. */
+const SOON_MILLISECONDS = 500;
 const WINDOW_MILLISECONDS = 5000;
 /** Loads that the weight store serves at full speed. */
 const COLD_LOADS_AT_ONCE = 4;
@@ -135,7 +139,11 @@
       COLD_LOADS_AT_ONCE - underWay.length,
     );
     const [first = WINDOW_MILLISECONDS] = underWay.sort((x, y) => x - y);
-    return { coldLoads: left, coldWaitMilliseconds: first };
+    return {
+      coldLoads: left,
+      coldWaitMilliseconds: first,
+      coldLoadsAtOnce: COLD_LOADS_AT_ONCE,
+    };
   };
 
   const startLoad = (load: PlannedLoad): void => {
@@ -171,10 +179,26 @@
       (model) => usable.some(({ underWay }) => underWay?.order.model === model),
     );
 
+  /** Busy models that nobody waits for: they are wanted as soon as their last server leaves. */
+  const lostModels = (engine: EngineProfile, known: readonly Want[]): readonly Want[] => {
+    const waited = new Set(known.map(({ model }) => model));
+    return [...engine.models.keys()].flatMap((model) => {
+      const rate = demand.creditPerSecond(model);
+      if (rate < BUSY_RATE || waited.has(model)) return [];
+      return [{ model, count: rate, credit: rate, objectiveMilliseconds: SOON_MILLISECONDS }];
+    });
+  };
+
   /** Uses the time in which nobody waits. */
   const prefetch = (servers: readonly PlannedServer[], engine: EngineProfile): void => {
     const beforeTraffic = demand.isEmpty();
-    const planned = planPrefetch({ profile: engine, servers, beforeTraffic, ...coldLoads(engine) });
+    const planned = planPrefetch({
+      profile: engine,
+      servers,
+      beforeTraffic,
+      creditPerSecond: demand.creditPerSecond,
+      ...coldLoads(engine),
+    });
     planned.forEach((load) => {
       const before = displaced.get(load.server) ?? [];
       displaced.set(load.server, [...before, ...load.victims]);
@@ -227,7 +251,10 @@
       });
     });
     const resident = (model: string): boolean => usable.some(({ models }) => models.has(model));
-    const missing = known.filter(({ model }) => !resident(model) && !underWay.has(model));
+    const isMissing = (model: string): boolean => !resident(model) && !underWay.has(model);
+    const missing = [...known, ...lostModels(engine, known)].filter(({ model }) =>
+      isMissing(model),
+    );
     const servers = usable.map((book) => {
       const view = viewForPlan(book, { clock, profile: engine, running });
       const least = starting.has(view.id)
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -22,8 +22,8 @@
 export interface PlannedModel {
   readonly name: string;
   readonly adapters: number;
-  /** Requests run with it now, so that it cannot go at once. */
-  readonly inUse: boolean;
+  /** Requests that run with it now, so that it cannot go at once. */
+  readonly running: number;
   /** It was loaded for requests that have not been served yet. */
   readonly fresh: boolean;
 }
@@ -56,6 +56,8 @@
   readonly coldLoads: number;
   /** Milliseconds until another one may begin once these are used up. */
   readonly coldWaitMilliseconds?: number;
+  /** Loads that the weight store serves at once. */
+  readonly coldLoadsAtOnce?: number;
 }
 
 /** Where a model will be loaded, and when it will be ready. */
@@ -79,6 +81,13 @@
  * 1.3 s until it is back, in which requests wait for that long.
  */
 const EVICTION_MILLISECONDS = 2000;
+/** Part of a copy's credit that is lost with it where the others can take its requests over. */
+const SPARE_PART = 0.1;
+/**
+ * Part of a server's slots from which on its requests slow each other down noticeably: prompts are
+ * read between the tokens of the others long before the slots are taken.
+ */
+const CROWDED_PART = 1 / 8;
 /** Delay that a request which is not served counts as, in milliseconds. */
 const MISSED_MILLISECONDS = 10_000;
 /** Delay that another copy spares a request which it takes over, in milliseconds. */
@@ -117,6 +126,11 @@
   planned: boolean;
 }
 
+/** Running requests from which on a server is crowded. */
+export function crowdedRequests({ slots }: Pick<EngineProfile, 'slots'>): number {
+  return Math.max(2, slots * CROWDED_PART);
+}
+
 function megabytesOf(profile: EngineProfile, { name, adapters }: PlannedModel): number {
   const model = profile.models.get(name);
   if (!model) return profile.weightsMegabytes;
@@ -142,7 +156,7 @@
  */
 export function planLoads(input: PlanInput): readonly PlannedLoad[] {
   const { profile, servers, wants, replicas = [], creditPerSecond, idleMilliseconds } = input;
-  const { coldWaitMilliseconds = Infinity } = input;
+  const { coldWaitMilliseconds = Infinity, coldLoadsAtOnce = 1 } = input;
   const occupancy = new Map<string, Occupancy>(
     servers.map((server) => [
       server.id,
@@ -150,16 +164,24 @@
     ]),
   );
   const copies = new Map<string, number>();
+  const runningOf = new Map<string, number>();
   servers.forEach(({ models }) =>
-    models.forEach(({ name }) => copies.set(name, (copies.get(name) ?? 0) + 1)),
+    models.forEach(({ name, running }) => {
+      copies.set(name, (copies.get(name) ?? 0) + 1);
+      runningOf.set(name, (runningOf.get(name) ?? 0) + running);
+    }),
   );
+  const crowded = crowdedRequests(profile);
   const wanted = new Set(wants.map(({ model }) => model));
   let { coldLoads } = input;
 
   /** Credit lost each second if this copy goes. */
   const worthOf = ({ name }: PlannedModel): number => {
     const recency = Math.max(0, 1 - idleMilliseconds(name) / RECENT_MILLISECONDS);
-    const rate = creditPerSecond(name) / (copies.get(name) ?? 1);
+    const count = copies.get(name) ?? 1;
+    const left = (runningOf.get(name) ?? 0) / Math.max(1, count - 1);
+    const spare = count > 1 && left < crowded ? SPARE_PART : 1;
+    const rate = (creditPerSecond(name) / count) * spare;
     return (wanted.has(name) ? rate * 2 + 1 : rate) + recency;
   };
 
@@ -176,7 +198,7 @@
       .map((resident) => ({
         resident,
         frees: megabytesOf(profile, resident),
-        cost: worthOf(resident) + UNLOAD_COST + (resident.inUse ? IN_USE_COST : 0),
+        cost: worthOf(resident) + UNLOAD_COST + (resident.running > 0 ? IN_USE_COST : 0),
       }));
     let best: readonly PlannedModel[] | undefined;
     let least = Infinity;
@@ -197,8 +219,11 @@
   };
 
   /** Time until a load out of the weight store may begin, behind those planned before. */
-  const coldWait = (): number =>
-    coldLoads >= 1 ? 0 : coldWaitMilliseconds * (1 + Math.max(0, -coldLoads));
+  const coldWait = ({ coldMilliseconds }: ModelProfile): number => {
+    if (coldLoads >= 1) return 0;
+    const roundsBefore = Math.floor(-coldLoads / coldLoadsAtOnce);
+    return coldWaitMilliseconds + roundsBefore * coldMilliseconds;
+  };
 
   const weigh = (
     server: PlannedServer,
@@ -207,12 +232,12 @@
   ): Candidate | undefined => {
     const { busyMilliseconds } = occupancy.get(server.id)!;
     const { time, cold } = loadMilliseconds(server, model);
-    const wait = cold ? coldWait() : 0;
+    const wait = cold ? coldWait(model) : 0;
     if (wait === Infinity) return undefined;
     const victims = chooseVictims(server, model);
     if (!victims) return undefined;
     const unloading = victims.reduce(
-      (sum, { inUse }) => sum + UNLOAD_MILLISECONDS + (inUse ? IN_USE_MILLISECONDS : 0),
+      (sum, { running }) => sum + UNLOAD_MILLISECONDS + (running > 0 ? IN_USE_MILLISECONDS : 0),
       0,
     );
     const readyMilliseconds = Math.max(busyMilliseconds, wait) + unloading + time;
@@ -238,7 +263,7 @@
       state.busyMilliseconds = best.readyMilliseconds;
       state.models = [
         ...state.models.filter((resident) => !best.victims.includes(resident)),
-        { name: model.name, adapters: 0, inUse: true, fresh: true },
+        { name: model.name, adapters: 0, running: 1, fresh: true },
       ];
     }
     return {
--- a/packages/loading/src/replicas.ts
+++ b/packages/loading/src/replicas.ts
@@ -1,5 +1,5 @@
 /** Which models need another copy, by the work that their servers have. */
-import type { ReplicaNeed } from './plan.js';
+import { crowdedRequests, type ReplicaNeed } from './plan.js';
 
 /** A server with its running requests. */
 export interface LoadedServer {
@@ -9,17 +9,10 @@
   readonly models: readonly string[];
 }
 
-/**
- * Part of a server's slots from which on its requests slow each other down noticeably: prompts are
- * read between the tokens of the others long before the slots are taken.
- */
-const CROWDED_PART = 1 / 8;
-
 const totalOf = (server: LoadedServer): number =>
   [...server.running.values()].reduce((sum, count) => sum + count, 0);
 
-const isCrowded = (server: LoadedServer): boolean =>
-  totalOf(server) >= Math.max(2, server.slots * CROWDED_PART);
+const isCrowded = (server: LoadedServer): boolean => totalOf(server) >= crowdedRequests(server);
 
 /**
  * Finds the models all of whose servers are crowded and that cause the most of it.
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -18,6 +18,8 @@
   load?: ServerLoad & { readonly at: number };
   /** Adapters that were loaded after the entry was written, with the moment. */
   readonly adapters: Map<string, number>;
+  /** When the server was first seen to leave. */
+  leavingSince: number | undefined;
   /** Models that the server was told to unload, with the moment. */
   readonly unloading: Map<string, number>;
   /** Prompt parts that this host has sent there, with the moment. */
@@ -45,6 +47,8 @@
 const FAILING_WEIGHT = 0.2;
 /** Time after which an adapter must stand in the server's own entry: three heartbeats. */
 const ADAPTER_MILLISECONDS = 4000;
+/** Time for which a leaving server may take work: it serves on for two seconds at least. */
+const LEAVING_MILLISECONDS = 1000;
 /** Time after which a model that is still in the server's entry was not unloaded. */
 const UNLOADING_MILLISECONDS = 2500;
 
@@ -61,10 +65,20 @@
     failing: 0,
     avoidUntil: 0,
     adapters: new Map(),
+    leavingSince: undefined,
     unloading: new Map(),
     parts: new Map(),
   });
 
+  /** A leaving server takes requests for a short while if no other holds their model. */
+  const isLastResort = (model: string, leavingSince: number | undefined): boolean => {
+    if (leavingSince === undefined) return false;
+    if (clock.monotonic() - leavingSince > LEAVING_MILLISECONDS) return false;
+    return ![...states.values()].some(
+      ({ entry }) => !entry.leaving && entry.models.some(({ name }) => name === model),
+    );
+  };
+
   /** A model that was unloaded may be loaded again. */
   const forgetUnloaded = ({ entry, unloading }: ServerState): void => {
     [...unloading.keys()].forEach((model) => {
@@ -81,6 +95,7 @@
         const known = states.get(id);
         if (known?.entry.born === entry.born) {
           known.entry = entry;
+          if (entry.leaving) known.leavingSince ??= clock.monotonic();
           forgetUnloaded(known);
         } else states.set(id, open(entry));
       });
@@ -105,8 +120,9 @@
     noteUnloading: (id, model) => {
       states.get(id)?.unloading.set(model, clock.monotonic());
     },
-    holdsModel: ({ entry, unloading }, model) => {
-      if (entry.leaving || !entry.models.some(({ name }) => name === model)) return false;
+    holdsModel: ({ entry, unloading, leavingSince }, model) => {
+      if (!entry.models.some(({ name }) => name === model)) return false;
+      if (entry.leaving && !isLastResort(model, leavingSince)) return false;
       const toldAt = unloading.get(model);
       return toldAt === undefined || clock.monotonic() - toldAt > UNLOADING_MILLISECONDS;
     },
