Pass on answers without a length as they are

Nobody can tell such an answer from a whole one, so it is passed on without a frame; a broken off one is reset.

--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -58,6 +58,8 @@
   readonly notRun: boolean;
   /** The server vouches for the answer. */
   readonly signed: boolean;
+  /** The answer says where it ends; otherwise it ends with its connection. */
+  readonly framed: boolean;
   /** Another server has the address now. */
   readonly otherServer: boolean;
   /** Request that the answer belongs to, if the server says so. */
@@ -86,8 +88,11 @@
   /** Aborted once the caller is gone. */
   readonly gone: AbortSignal;
   begun(): boolean;
-  /** @param headers names and values in turn */
-  begin(status: number, headers: readonly string[]): void;
+  /**
+   * @param headers names and values in turn
+   * @param framed false where nobody can tell whether the answer is whole
+   */
+  begin(status: number, headers: readonly string[], framed: boolean): void;
   /** @returns whether the caller keeps up; otherwise onDrain tells when it does again */
   write(chunk: Buffer): boolean;
   onDrain(action: () => void): void;
--- a/packages/serving/src/relay.ts
+++ b/packages/serving/src/relay.ts
@@ -113,7 +113,8 @@
     lastEventId: () => undefined,
     finish: () => {
       if (!head) return;
-      reply.begin(head.status, [...head.headers, 'content-length', String(size)]);
+      const length = head.framed ? ['content-length', String(size)] : [];
+      reply.begin(head.status, [...head.headers, ...length], head.framed);
       chunks.forEach((chunk) => reply.write(chunk));
       reply.end();
     },
@@ -137,7 +138,7 @@
   const begin = (): void => {
     if (reply.begun() || !head) return;
     options.onFirst();
-    reply.begin(head.status, head.headers);
+    reply.begin(head.status, head.headers, head.framed);
   };
 
   const pass = (chunk: Buffer): void => {
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -98,6 +98,7 @@
   notRun: false,
   otherServer: false,
   signed: true,
+  framed: true,
   callId: 'call-1',
   headers: [],
   ...changes,
