--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -15,8 +15,7 @@
 import type { Demand } from './demand.js';
 import { OPERATION, type EngineControl } from './engine.js';
 import { createIssuer } from './issue.js';
-import { planLoads, type PlannedLoad, type PlannedServer, type Want } from './plan.js';
-import { planPrefetch } from './prefetch.js';
+import { planLoads, type PlannedLoad, type Want } from './plan.js';
 import { findReplicaNeeds } from './replicas.js';
 
 /** When a wanted model will be ready. */
@@ -80,8 +79,6 @@
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
   const starting = new Set<string>();
-  /** Models that made way for a prefetch, by server. */
-  const displaced = new Map<string, readonly string[]>();
   let coldBegun: number[] = [];
   let outlook: readonly Outlook[] = [];
   let planned = false;
@@ -189,45 +186,6 @@
     });
   };
 
-  /** Uses the time in which nobody waits. */
-  const prefetch = (servers: readonly PlannedServer[], engine: EngineProfile): void => {
-    const beforeTraffic = demand.isEmpty();
-    const planned = planPrefetch({
-      profile: engine,
-      servers,
-      beforeTraffic,
-      creditPerSecond: demand.creditPerSecond,
-      ...coldLoads(engine),
-    });
-    planned.forEach((load) => {
-      const before = displaced.get(load.server) ?? [];
-      displaced.set(load.server, [...before, ...load.victims]);
-      startLoad(load);
-    });
-    if (planned.length === 0) restore(servers, engine);
-  };
-
-  /** Brings models back that made way for a prefetch, out of the server's memory. */
-  const restore = (servers: readonly PlannedServer[], engine: EngineProfile): void => {
-    servers
-      .filter(({ busyMilliseconds, running: count }) => busyMilliseconds === 0 && count === 0)
-      .forEach((server) => {
-        const [model] = displaced.get(server.id) ?? [];
-        if (model === undefined) return;
-        displaced.delete(server.id);
-        if (server.models.some(({ name }) => name === model)) return;
-        const [load] = planLoads({
-          profile: engine,
-          servers: [server],
-          wants: [{ model, count: 1, credit: 0, objectiveMilliseconds: 0 }],
-          creditPerSecond: demand.creditPerSecond,
-          idleMilliseconds: demand.idleMilliseconds,
-          coldLoads: 0,
-        });
-        if (load) startLoad(load);
-      });
-  };
-
   const planService = (
     service: string,
     wants: readonly Want[],
@@ -272,9 +230,6 @@
       ...coldLoads(engine),
     });
     loads.filter(({ startsNow }) => startsNow).forEach(startLoad);
-    if (wants.length === 0 && ordersInMilliseconds === 0 && loads.length === 0) {
-      prefetch(servers, engine);
-    }
     const byModel = new Map(loads.map((load) => [load.model, load]));
     return known.map(({ model }) => {
       if (resident(model)) return { model, readyMilliseconds: 0 };
--- a/packages/loading/src/demand.ts
+++ b/packages/loading/src/demand.ts
@@ -8,8 +8,6 @@
   creditPerSecond(model: string): number;
   /** Milliseconds since the model was last asked for; infinite where it never was. */
   idleMilliseconds(model: string): number;
-  /** Nobody has asked for a model yet. */
-  isEmpty(): boolean;
 }
 
 /** Options of {@link createDemand}. */
@@ -51,6 +49,5 @@
       const known = rates.get(model);
       return known ? clock.monotonic() - known.at : Number.POSITIVE_INFINITY;
     },
-    isEmpty: () => rates.size === 0,
   };
 }
--- a/packages/loading/src/index.ts
+++ b/packages/loading/src/index.ts
@@ -24,5 +24,4 @@
   type ReplicaNeed,
   type Want,
 } from './plan.js';
-export { planPrefetch, type PrefetchInput } from './prefetch.js';
 export { findReplicaNeeds, type LoadedServer } from './replicas.js';
