--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -87,7 +87,7 @@
  * Part of a server's slots from which on its requests slow each other down noticeably: prompts are
  * read between the tokens of the others long before the slots are taken.
  */
-const CROWDED_PART = 1 / 8;
+const CROWDED_PART = 1 / 4;
 /** Delay that a request which is not served counts as, in milliseconds. */
 const MISSED_MILLISECONDS = 10_000;
 /** Delay that another copy spares a request which it takes over, in milliseconds. */
