--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Priorities of requests. */
 export const PRIORITY = { PERSON: 'person', BATCH: 'batch' } as const;
--- a/packages/document/src/check.ts
+++ b/packages/document/src/check.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { Finding } from '@bulrushspar/errors';
 import { parseSource, type Path, type Source } from './source.js';
 
--- a/packages/gateway/src/chat.ts
+++ b/packages/gateway/src/chat.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Configuration } from '@bulrushspar/configuration';
 import { createRefusal, REFUSAL } from '@bulrushspar/errors';
 import type { NamedRoute } from './services.js';
--- a/packages/operator/src/operations.ts
+++ b/packages/operator/src/operations.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { AuditRecord, AuditTrail } from '@bulrushspar/audit';
 import {
   checkConfiguration,
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { checkDocument, type Checked } from '@bulrushspar/document';
 
 const HIGHEST_PORT = 65_535;
