--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,7 +5,7 @@
 import { createDemand, type EngineControl, type Outlook } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
-import { createPeerNetwork, type Link, type PeerHandlers } from '@bulrushspar/peer';
+import type { PeerHandlers } from '@bulrushspar/peer';
 import { createSuspects } from '@bulrushspar/routing';
 import {
   createAdmission,
@@ -20,7 +20,8 @@
 import { createRetryBudget } from '@bulrushspar/shares';
 import type { Incarnation, ObjectStore, ObjectView } from '@bulrushspar/store';
 import { createGossip } from './gossip.js';
-import { HOST_KIND, joinGroup, peersOf, readSecret } from './group.js';
+import { HOST_KIND, peersOf } from './group.js';
+import { createFleetLinks, type FleetLinks } from './links.js';
 import {
   MESSAGE,
   type AdapterMessage,
@@ -93,8 +94,6 @@
 const STATE_MILLISECONDS = 200;
 /** Time between two tellings of what requests wait for. */
 const WANTS_MILLISECONDS = 100;
-/** Silence after which a link counts as broken: several states. */
-const LINK_SILENCE_MILLISECONDS = 1200;
 /** Longest wait for an adapter: a load that is under way at its server, and the order. */
 const ADAPTER_MILLISECONDS = 2000;
 /** Retry-After of a host that stops: another host takes the request at once. */
@@ -121,21 +120,18 @@
   let hosts = 1;
   let refusing = false;
 
-  const network = () => peerNetwork;
-  let peerNetwork: ReturnType<typeof createPeerNetwork> | undefined;
-  const links = (): readonly Link[] => network()?.links() ?? [];
-  const broadcast = (type: string, body: unknown): void =>
-    links().forEach((link) => link.send(type, body));
-
   const servers = createServerStates(clock);
   const demand = createDemand({ clock });
   const quotas = createQuotas({
     clock,
-    linkedPart: () => Math.min(1, (links().length + 1) / hosts),
+    linkedPart: () => Math.min(1, (links.all().length + 1) / hosts),
     firstStart: options.firstStart,
     tolerance: bounds.quota,
   });
-  const suspects = createSuspects({ clock, onNews: (news) => broadcast(MESSAGE.SUSPECT, news) });
+  const suspects = createSuspects({
+    clock,
+    onNews: (news) => links.broadcast(MESSAGE.SUSPECT, news),
+  });
   const budget = createRetryBudget({
     clock,
     ratio: bounds.repeatsPerRequest,
@@ -193,7 +189,7 @@
     clock,
     logger,
     watchersBefore: (kind: string) => gossip.watchersBefore(kind),
-    onChanges: (message: ChangesMessage) => broadcast(MESSAGE.CHANGES, message),
+    onChanges: (message: ChangesMessage) => links.broadcast(MESSAGE.CHANGES, message),
   };
   const configurations = createSource({
     ...sourceOptions,
@@ -212,7 +208,7 @@
     onView: (view) => {
       const peers = peersOf(view, host.name);
       hosts = peers.length + 1;
-      network()?.connectTo(peers);
+      links.connectTo(peers);
     },
   });
   const sources = [configurations, serverEntries, hostRecords];
@@ -230,14 +226,14 @@
     running: gossip.running,
     handoverMilliseconds: bounds.handoverMilliseconds,
     othersReachStore: gossip.othersReachStore,
-    rank: () => links().filter(({ peer }) => peer.host < host.name).length,
+    rank: () => links.all().filter(({ peer }) => peer.host < host.name).length,
     onOutlook: (outlook, waiting) => {
       takeOutlook(outlook);
-      waiting.forEach((name) => network()?.link(name)?.send(MESSAGE.OUTLOOK, outlook));
+      waiting.forEach((name) => links.to(name)?.send(MESSAGE.OUTLOOK, outlook));
     },
     onUnloading: (server, model) => {
       servers.noteUnloading(server, model);
-      broadcast(MESSAGE.UNLOADING, { server, model } satisfies UnloadingMessage);
+      links.broadcast(MESSAGE.UNLOADING, { server, model } satisfies UnloadingMessage);
     },
   });
 
@@ -248,13 +244,13 @@
     toldWants = wants.length > 0;
     const leader = duty.leader();
     if (leader === host.name) duty.commander.setWants(host.name, wants);
-    else if (leader !== undefined) network()?.link(leader)?.send(MESSAGE.WANTS, wants);
+    else if (leader !== undefined) links.to(leader)?.send(MESSAGE.WANTS, wants);
   };
 
   const ensureAdapter = async (server: string, model: string, adapter: string) => {
     const leader = duty.leader();
     if (leader === host.name) return duty.commander.ensureAdapter(server, model, adapter);
-    const link = leader === undefined ? undefined : network()?.link(leader);
+    const link = leader === undefined ? undefined : links.to(leader);
     if (!link) return false;
     const body: AdapterMessage = { server, model, adapter };
     return link.request<boolean>(MESSAGE.ADAPTER, body, ADAPTER_MILLISECONDS).catch((error) => {
@@ -265,7 +261,7 @@
 
   const handlers: PeerHandlers = {
     [MESSAGE.STATE]: (body, from) => {
-      const link = network()?.link(from.host);
+      const link = links.to(from.host);
       if (link) gossip.hear(link, body as HostState);
     },
     [MESSAGE.WANTS]: (body, from) => duty.commander.setWants(from.host, body as WantsMessage),
@@ -280,7 +276,7 @@
     },
     [MESSAGE.CHANGES]: (body, from) => {
       const message = body as ChangesMessage;
-      const link = network()?.link(from.host);
+      const link = links.to(from.host);
       const source = sources.find(({ kind }) => kind === message.kind);
       if (link) source?.take(link, message);
     },
@@ -291,30 +287,23 @@
     [MESSAGE.SUSPECT]: (body) => suspects.hear(body as SuspectMessage),
   };
 
-  const joinLinks = async (): Promise<void> => {
-    const group = { store, clock, logger };
-    const secret = await readSecret(group);
-    peerNetwork = createPeerNetwork({
-      self,
-      secrets: [secret],
-      clock,
-      handlers,
-      silenceMilliseconds: LINK_SILENCE_MILLISECONDS,
-      onLink: (link) => {
-        logger.info('link opened', { peer: link.peer.host });
-        suspects.news().forEach((news) => link.send(MESSAGE.SUSPECT, news));
-        link.send(MESSAGE.STATE, gossip.state());
-      },
-      onLost: (peer) => {
-        logger.warn('link lost', { peer: peer.host });
-        gossip.forget(peer.host);
-        duty.commander.forgetHost(peer.host);
-      },
-    });
-    await peerNetwork.listen(host.address, host.port);
-    await joinGroup(group, self, host.address, host.port);
-    await hostRecords.run(stopping.signal);
-  };
+  const links: FleetLinks = createFleetLinks({
+    self,
+    address: host.address,
+    port: host.port,
+    store,
+    clock,
+    logger,
+    handlers,
+    onLink: (link) => {
+      suspects.news().forEach((news) => link.send(MESSAGE.SUSPECT, news));
+      link.send(MESSAGE.STATE, gossip.state());
+    },
+    onLost: (name) => {
+      gossip.forget(name);
+      duty.commander.forgetHost(name);
+    },
+  });
 
   const serve = createServe<SomeCall>({
     clock,
@@ -336,7 +325,7 @@
   const running = [
     configurations.run(stopping.signal),
     serverEntries.run(stopping.signal),
-    joinLinks(),
+    links.open().then(() => hostRecords.run(stopping.signal)),
   ];
   const ordering = duty.run(AbortSignal.any([stopping.signal, releasing.signal]));
   [...running, ordering].forEach((work) =>
@@ -345,7 +334,7 @@
     ),
   );
   const stopTelling = every(clock, STATE_MILLISECONDS, () => {
-    if (links().length > 0) broadcast(MESSAGE.STATE, gossip.state());
+    links.broadcast(MESSAGE.STATE, gossip.nextState());
   });
   const stopWants = every(clock, WANTS_MILLISECONDS, tellWants);
 
@@ -364,7 +353,7 @@
       stopWants();
       stopping.abort();
       await Promise.allSettled([...running, ordering]);
-      await network()?.close();
+      await links.close();
     },
   };
 }
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -9,8 +9,10 @@
 
 /** Exchange of what the hosts of a fleet must know of each other. */
 export interface Gossip {
-  /** What this host tells all others now. */
+  /** What this host tells one other now; it does not count as told. */
   state(): HostState;
+  /** What this host tells all others now. */
+  nextState(): HostState;
   hear(link: Link, state: HostState): void;
   /** Counts a request of this host for a model. */
   noteAsked(model: string, credit: number): void;
@@ -74,18 +76,21 @@
     }
   };
 
+  const describe = (askedSince: HostState['asked']): HostState => ({
+    taken: quotas.taken(),
+    running: ownRunning(),
+    asked: askedSince,
+    orders: duty().describe(),
+    seen: Object.fromEntries(sources().map((source) => [source.kind, source.changedAt()])),
+    watches: sources()
+      .filter((source) => source.watches())
+      .map(({ kind }) => kind),
+  });
+
   return {
-    state: () => {
-      const state: HostState = {
-        taken: quotas.taken(),
-        running: ownRunning(),
-        asked,
-        orders: duty().describe(),
-        seen: Object.fromEntries(sources().map((source) => [source.kind, source.changedAt()])),
-        watches: sources()
-          .filter((source) => source.watches())
-          .map(({ kind }) => kind),
-      };
+    state: () => describe({}),
+    nextState: () => {
+      const state = describe(asked);
       asked = {};
       return state;
     },
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -15,6 +15,7 @@
   SECRET_KIND,
   type HostRecord,
 } from './group.js';
+export { createFleetLinks, type FleetLinks, type FleetLinksOptions } from './links.js';
 export { MESSAGE, type ChangesMessage, type HostState, type PullAnswer } from './messages.js';
 export { createOrderDuty, type OrderDuty, type OrderDutyOptions } from './orders.js';
 export { createQuotas, type Quotas, type QuotasOptions, type QuotaTolerance } from './quotas.js';
