Count the copies that a plan takes; ask the servers before the first orders

In the bad one two servers evicted the only two copies of a busy model in one plan (11.585 s, kale33746b), since each counted on the other; and a new giver of orders spent its first orders on books that were old (24.25 s, four loads decided, none sent).

--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -35,6 +35,8 @@
   readonly profile: EngineProfile;
   /** Requests of all hosts that run on a server, by model. */
   readonly running: (server: string) => ReadonlyMap<string, number>;
+  /** Models of a server whose unload is decided. */
+  readonly leaving: (server: string) => readonly string[];
 }
 
 /** Time that a loaded model is kept for the requests that waited for it. */
@@ -181,6 +183,8 @@
   const now = clock.monotonic();
   const { underWay, entry } = book;
   const running = options.running(entry.id);
+  const leaving = new Set(options.leaving(entry.id));
+  if (underWay?.order.operation === OPERATION.UNLOAD) leaving.add(underWay.order.model);
   const remaining = underWay
     ? Math.max(1, underWay.begunAt + underWay.expectedMilliseconds - now)
     : 0;
@@ -190,6 +194,7 @@
       name,
       adapters: adapters.size,
       running: running.get(name) ?? 0,
+      leaving: leaving.has(name),
       fresh: now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
     })),
     doubtfulMegabytes: doubtfulMegabytes(book, profile),
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -67,6 +67,8 @@
 const BUSY_RATE = 1;
 /** Time until somebody asks for a busy model that was lost. */
 const SOON_MILLISECONDS = 500;
+/** Time before the first orders in which the servers are asked what they hold. */
+const LEARN_MILLISECONDS = 300;
 const WINDOW_MILLISECONDS = 5000;
 /** Loads that the weight store serves at full speed. */
 const COLD_LOADS_AT_ONCE = 4;
@@ -78,13 +80,15 @@
   const { onOutlook = () => {}, onUnloading = () => {} } = options;
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
-  const starting = new Set<string>();
+  /** Loads whose orders are being given, by server. */
+  const starting = new Map<string, PlannedLoad>();
+  const leaving = (server: string): readonly string[] => starting.get(server)?.victims ?? [];
   let coldBegun: number[] = [];
   let outlook: readonly Outlook[] = [];
   let planned = false;
   let lastToken: number | undefined;
 
-  const issue = createIssuer(options);
+  const { issue, learn } = createIssuer(options);
   const changer = createChanger({
     clock,
     control,
@@ -146,7 +150,7 @@
   const startLoad = (load: PlannedLoad): void => {
     const book = books.get(load.server);
     if (!book || starting.has(load.server)) return;
-    starting.add(load.server);
+    starting.set(load.server, load);
     logger.info('load decided', {
       model: load.model,
       server: load.server,
@@ -201,7 +205,7 @@
       const { entry } = book;
       const order = book.underWay?.order;
       if (order?.operation !== OPERATION.LOAD) return;
-      const view = viewForPlan(book, { clock, profile: engine, running });
+      const view = viewForPlan(book, { clock, profile: engine, running, leaving });
       underWay.set(order.model, {
         model: order.model,
         readyMilliseconds: view.busyMilliseconds,
@@ -214,7 +218,7 @@
       isMissing(model),
     );
     const servers = usable.map((book) => {
-      const view = viewForPlan(book, { clock, profile: engine, running });
+      const view = viewForPlan(book, { clock, profile: engine, running, leaving });
       const least = starting.has(view.id)
         ? Math.max(1, ordersInMilliseconds)
         : ordersInMilliseconds;
@@ -246,6 +250,7 @@
     const wait = ordersIn();
     if (wait === undefined) return;
     books.forEach((book) => checkAgainstEntry(book, clock));
+    if (wait < LEARN_MILLISECONDS) books.forEach(learn);
     const wants = mergeWants();
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -58,10 +58,18 @@
   );
 }
 
+/** Sender of orders of one host. */
+export interface Issuer {
+  readonly issue: Issue;
+  /** Asks a server what it holds if that is not known; once at a time. */
+  learn(book: ServerBook): void;
+}
+
 /** Creates the sender of orders of one host. */
-export function createIssuer(options: IssuerOptions): Issue {
+export function createIssuer(options: IssuerOptions): Issuer {
   const { clock, control, logger, holder, fencing, profile } = options;
   const queues = new Map<string, Promise<unknown>>();
+  const learning = new Set<ServerBook>();
 
   const readReport = async (book: ServerBook): Promise<void> => {
     try {
@@ -108,7 +116,12 @@
     if (token === undefined || book.sequence === undefined) return ORDER_OUTCOME.REJECTED;
     const engine = profile(book.entry.service);
     const loads = request.operation === OPERATION.LOAD;
-    if (loads && (!engine || !hasRoom(book, engine, request))) return ORDER_OUTCOME.NO_ROOM;
+    if (loads && (!engine || !hasRoom(book, engine, request))) {
+      const held = [...book.models.keys()].join(' ');
+      const { id: server } = book.entry;
+      logger.info('order not sent', { server, ...request, held, why: 'no room' });
+      return ORDER_OUTCOME.NO_ROOM;
+    }
     const begun = clock.monotonic();
     Object.assign(book, { orderedAt: begun });
     const expectedSequence = book.sequence;
@@ -140,13 +153,24 @@
     return outcome;
   };
 
-  return (book, request) => {
+  /** Runs work with a server after all that came before. */
+  const enqueue = <Result>(book: ServerBook, work: () => Promise<Result>): Promise<Result> => {
     const before = queues.get(book.entry.id) ?? Promise.resolve();
-    const work = before.then(() => sendAfterConflict(book, request));
+    const result = before.then(work);
     queues.set(
       book.entry.id,
-      work.catch(() => {}),
+      result.catch(() => {}),
     );
-    return work;
+    return result;
+  };
+
+  return {
+    issue: (book, request) => enqueue(book, () => sendAfterConflict(book, request)),
+    learn: (book) => {
+      if (book.sequence !== undefined || learning.has(book)) return;
+      if (clock.monotonic() < book.notBefore) return;
+      learning.add(book);
+      enqueue(book, () => readReport(book)).finally(() => learning.delete(book));
+    },
   };
 }
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -26,6 +26,8 @@
   readonly running: number;
   /** It was loaded for requests that have not been served yet. */
   readonly fresh: boolean;
+  /** It is making way already. */
+  readonly leaving: boolean;
 }
 
 /** A server, as the planner sees it. */
@@ -166,7 +168,8 @@
   const copies = new Map<string, number>();
   const runningOf = new Map<string, number>();
   servers.forEach(({ models }) =>
-    models.forEach(({ name, running }) => {
+    models.forEach(({ name, running, leaving }) => {
+      if (leaving) return;
       copies.set(name, (copies.get(name) ?? 0) + 1);
       runningOf.set(name, (runningOf.get(name) ?? 0) + running);
     }),
@@ -194,7 +197,7 @@
     const used = models.reduce((sum, resident) => sum + megabytesOf(profile, resident), 0);
     const missing = used + server.doubtfulMegabytes + model.megabytes - profile.weightsMegabytes;
     const removable = models
-      .filter(({ fresh }) => !fresh)
+      .filter(({ fresh, leaving }) => !fresh && !leaving)
       .map((resident) => ({
         resident,
         frees: megabytesOf(profile, resident),
@@ -259,11 +262,13 @@
     if (best.cold) coldLoads -= 1;
     // A load that waits for the weight store leaves its server to others meanwhile.
     if (!best.waits) {
+      // Another victim of this plan must not count on the copies that go with this one.
+      best.victims.forEach(({ name }) => copies.set(name, (copies.get(name) ?? 1) - 1));
       state.planned = true;
       state.busyMilliseconds = best.readyMilliseconds;
       state.models = [
         ...state.models.filter((resident) => !best.victims.includes(resident)),
-        { name: model.name, adapters: 0, running: 1, fresh: true },
+        { name: model.name, adapters: 0, running: 1, fresh: true, leaving: false },
       ];
     }
     return {
--- a/packages/loading/test/plan.feature
+++ b/packages/loading/test/plan.feature
@@ -138,3 +138,24 @@
       | model | ready | starts |
       | n1    | 9000  | no     |
       | n2    | 800   | yes    |
+
+  Scenario Outline: The copies of a busy model do not all make way at once
+    Given servers that hold
+      | server | models          | memory | disk |
+      | s1     | busy b1 b2      |        | n1   |
+      | s2     | <two> b1 b2     |        | n2   |
+      | s3     | b1 b2 n3        |        |      |
+    And requests a second
+      | model | rate |
+      | busy  | 9    |
+      | b1    | 20   |
+      | b2    | 20   |
+    And 0 loads out of the weight store may begin
+    When one request waits for each of "<wanted>", the oldest first
+    Then "<evicted>" make way
+
+    Examples:
+      | two   | wanted | evicted |
+      | busy  | n1     | busy    |
+      | busy  | n1 n2  | busy b1 |
+      | busy- | n1     | b1      |
--- a/packages/loading/test/plan.ts
+++ b/packages/loading/test/plan.ts
@@ -55,9 +55,10 @@
   this.servers = table.hashes().map(({ server, models, memory, disk, running }) => ({
     id: server!,
     models: words(models!).map((word) => ({
-      name: word.replace('!', ''),
+      name: word.replace(/[!-]$/, ''),
       adapters: 0,
       running: 0,
+      leaving: word.endsWith('-'),
       fresh: word.endsWith('!'),
     })),
     doubtfulMegabytes: 0,
@@ -185,3 +186,10 @@
 When('nobody waits for a model', function none(this: PlanWorld) {
   plan(this, []);
 });
+
+Then('{string} make way', function check(this: PlanWorld, models: string) {
+  assert.deepEqual(
+    this.loads.flatMap(({ victims }) => victims),
+    words(models),
+  );
+});
