--- a/packages/loading/src/adapters.ts
+++ b/packages/loading/src/adapters.ts
@@ -27,6 +27,8 @@
 export function createAdapterLoader(options: AdapterLoaderOptions): AdapterLoader {
   const { clock, issue, isChanging } = options;
   const usedAt = new Map<string, number>();
+  /** Orders under way: a server accepts a second one for the same adapter without counting it. */
+  const underWay = new Map<string, Promise<boolean>>();
 
   const keyOf = (book: ServerBook, model: string, adapter: string): string =>
     `${book.entry.id} ${model}/${adapter}`;
@@ -49,18 +51,32 @@
     if (oldest) await issue(book, { operation: OPERATION.UNLOAD, ...oldest });
   };
 
+  const load = async (
+    book: ServerBook,
+    engine: EngineProfile,
+    model: string,
+    adapter: string,
+  ): Promise<boolean> => {
+    await untilFree(book);
+    const held = book.models.get(model);
+    if (!held) return false;
+    if (held.has(adapter)) return true;
+    const request = { operation: OPERATION.LOAD, model, adapter } as const;
+    if (!hasRoom(book, engine, request)) await evictOldest(book);
+    if (!hasRoom(book, engine, request)) return false;
+    const outcome = await issue(book, request);
+    return outcome === ORDER_OUTCOME.ACCEPTED || outcome === ORDER_OUTCOME.HOLDS;
+  };
+
   return {
-    ensure: async (book, engine, model, adapter) => {
-      await untilFree(book);
-      const held = book.models.get(model);
-      if (!held) return false;
-      usedAt.set(keyOf(book, model, adapter), clock.monotonic());
-      if (held.has(adapter)) return true;
-      const request = { operation: OPERATION.LOAD, model, adapter } as const;
-      if (!hasRoom(book, engine, request)) await evictOldest(book);
-      if (!hasRoom(book, engine, request)) return false;
-      const outcome = await issue(book, request);
-      return outcome === ORDER_OUTCOME.ACCEPTED || outcome === ORDER_OUTCOME.HOLDS;
+    ensure: (book, engine, model, adapter) => {
+      const key = keyOf(book, model, adapter);
+      usedAt.set(key, clock.monotonic());
+      const known = underWay.get(key);
+      if (known) return known;
+      const work = load(book, engine, model, adapter).finally(() => underWay.delete(key));
+      underWay.set(key, work);
+      return work;
     },
   };
 }
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -20,6 +20,8 @@
   notBefore: number;
   /** When the last order went out, by the monotonic clock. */
   orderedAt: number;
+  /** When the last order was counted, by the monotonic clock. */
+  countedAt: number;
 }
 
 /** An order that was accepted and is not done yet. */
@@ -43,6 +45,8 @@
 const FRESH_MILLISECONDS = 700;
 /** Time in which a server's entry follows its last order: a heartbeat and some more. */
 const ENTRY_MILLISECONDS = 2000;
+/** A report may be older than the last order by some hundred milliseconds. */
+const REPORT_LAG_MILLISECONDS = 600;
 /** Time until a server that carries out another giver's order is asked again. */
 const FOREIGN_ORDER_MILLISECONDS = 250;
 
@@ -59,6 +63,7 @@
     loadedAt: new Map(),
     notBefore: 0,
     orderedAt: -Infinity,
+    countedAt: -Infinity,
   };
 }
 
@@ -138,7 +143,8 @@
 export function takeReport(book: ServerBook, report: ServerReport, clock: Clock): void {
   const opened = book;
   if (report.born !== book.entry.born) return;
-  if (book.sequence !== undefined && report.sequence < book.sequence) return;
+  const mayLag = clock.monotonic() - book.countedAt < REPORT_LAG_MILLISECONDS;
+  if (mayLag && book.sequence !== undefined && report.sequence < book.sequence) return;
   if (report.sequence !== book.sequence) opened.doubtful = [];
   opened.sequence = report.sequence;
   const models = adaptersOf(report);
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -101,6 +101,7 @@
     const counted = outcome === ORDER_OUTCOME.ACCEPTED || (!loads && adapter !== undefined);
     if (counted && opened.sequence !== undefined) {
       opened.sequence += 1;
+      opened.countedAt = clock.monotonic();
       // Orders without an answer expected the sequence that this one has used.
       opened.doubtful = [];
     }
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -60,3 +60,18 @@
     And the lease is lost
     When requests wait for "c" for 2 s
     Then the server received 0 orders
+
+  Scenario: One adapter is asked for twice at the same moment
+    Given a server and the giver of its orders
+    When adapters "1 1 1" of "a" are asked for at once
+    Then the server received 1 orders
+    When requests wait for "c" for 2 s
+    Then the server holds "a b c"
+
+  Scenario: The book has counted more orders than the server
+    Given a server and the giver of its orders
+    And the server forgets to count its first 2 orders
+    When requests wait for "c" for 3 s
+    And requests wait for "d" for 6 s
+    Then the server holds "d"
+    And no order was more than the server has room for
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -34,6 +34,8 @@
   /** When those are carried out, in milliseconds; undefined for never. */
   lateMilliseconds: number | undefined;
   unloadMilliseconds: number;
+  /** Orders from now on that the server accepts without counting them. */
+  uncounted: number;
   restart(): void;
   begin(order: Pick<Order, 'operation' | 'model'>, milliseconds: number): void;
 }
@@ -110,12 +112,14 @@
 
   const carryOut = ({ operation, model, adapter, expectedSequence }: Order): OrderOutcome => {
     if (busy || expectedSequence !== sequence) return ORDER_OUTCOME.CONFLICT;
+    const counts = engine.uncounted <= 0;
+    engine.uncounted -= 1;
     if (adapter === undefined) {
-      sequence += 1;
+      if (counts) sequence += 1;
       begin({ operation, model }, operation === OPERATION.LOAD ? 500 : engine.unloadMilliseconds);
       return ORDER_OUTCOME.ACCEPTED;
     }
-    sequence += 1;
+    if (counts) sequence += 1;
     const adapters = engine.models.get(model)!;
     if (operation === OPERATION.LOAD) adapters.add(adapter);
     else adapters.delete(adapter);
@@ -135,6 +139,7 @@
     unanswered: 0,
     lateMilliseconds: undefined,
     unloadMilliseconds: 20,
+    uncounted: 0,
     begin,
     entry: () => ({
       id: 's1',
@@ -237,6 +242,13 @@
   },
 );
 
+Given(
+  'the server forgets to count its first {int} orders',
+  function forget(this: CommanderWorld, count: number) {
+    this.fakeEngine.uncounted = count;
+  },
+);
+
 When(
   'requests wait for {string} for {int} s',
   async function wait(this: CommanderWorld, model: string, seconds: number) {
