--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -37,8 +37,14 @@
   readonly profile: EngineProfile;
   /** Requests of all hosts that run on a server, by model. */
   readonly running: (server: string) => ReadonlyMap<string, number>;
-  /** Models of a server whose unload is decided. */
-  readonly leaving: (server: string) => readonly string[];
+  /** Change of a server whose orders are being given. */
+  readonly change: (server: string) => Change | undefined;
+}
+
+/** A load with the models that make way for it. */
+export interface Change {
+  readonly model: string;
+  readonly victims: readonly string[];
 }
 
 /** Time that a loaded model is kept for the requests that waited for it. */
@@ -163,6 +169,10 @@
 /** Memory that a server's models and adapters take, with those that may come still. */
 export function usedMegabytes(book: ServerBook, profile: EngineProfile): number {
   let sum = doubtfulMegabytes(book, profile);
+  const order = book.underWay?.order;
+  if (order?.operation === OPERATION.LOAD && !book.models.has(order.model)) {
+    sum += profile.models.get(order.model)?.megabytes ?? 0;
+  }
   book.models.forEach((adapters, name) => {
     const model = profile.models.get(name);
     sum += model ? model.megabytes + adapters.size * model.adapterMegabytes : 0;
@@ -170,10 +180,9 @@
   return sum;
 }
 
-/** Memory that the order under way and those without an answer may take. */
+/** Memory that orders without an answer may take. */
 export function doubtfulMegabytes(book: ServerBook, profile: EngineProfile): number {
-  const loading = book.underWay?.order.operation === OPERATION.LOAD ? [book.underWay.order] : [];
-  const absent = [...book.doubtful, ...loading].filter(
+  const absent = book.doubtful.filter(
     ({ model, adapter }) => adapter !== undefined || !book.models.has(model),
   );
   return absent.reduce((sum, { model, adapter }) => {
@@ -183,25 +192,36 @@
   }, 0);
 }
 
+/** The models as they will be once the change under way is done, with their adapters. */
+function modelsAfter(book: ServerBook, change: Change | undefined): Map<string, Set<string>> {
+  const models = new Map(book.models);
+  change?.victims.forEach((name) => models.delete(name));
+  const order = book.underWay?.order;
+  if (order?.operation === OPERATION.UNLOAD) models.delete(order.model);
+  const loading = order?.operation === OPERATION.LOAD ? order.model : change?.model;
+  if (loading !== undefined && !models.has(loading)) models.set(loading, new Set());
+  return models;
+}
+
 /** Shows a server to the planner. */
 export function viewForPlan(book: ServerBook, options: ViewOptions): PlannedServer {
   const { clock, profile } = options;
   const now = clock.monotonic();
   const { underWay, entry } = book;
   const running = options.running(entry.id);
-  const leaving = new Set(options.leaving(entry.id));
-  if (underWay?.order.operation === OPERATION.UNLOAD) leaving.add(underWay.order.model);
+  const change = options.change(entry.id);
   const remaining = underWay
     ? Math.max(1, underWay.begunAt + underWay.expectedMilliseconds - now)
     : 0;
   return {
     id: entry.id,
-    models: [...book.models].map(([name, adapters]) => ({
+    models: [...modelsAfter(book, change)].map(([name, adapters]) => ({
       name,
       adapters: adapters.size,
       running: running.get(name) ?? 0,
-      leaving: leaving.has(name),
-      fresh: now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
+      // One that is not there yet is being loaded.
+      fresh:
+        !book.models.has(name) || now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
     })),
     doubtfulMegabytes: doubtfulMegabytes(book, profile),
     busyMilliseconds: Math.max(remaining, book.notBefore - now, 0),
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -82,7 +82,7 @@
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
   /** Loads whose orders are being given, by server. */
   const starting = new Map<string, PlannedLoad>();
-  const leaving = (server: string): readonly string[] => starting.get(server)?.victims ?? [];
+  const change = (server: string): PlannedLoad | undefined => starting.get(server);
   let coldBegun: number[] = [];
   let outlook: readonly Outlook[] = [];
   let planned = false;
@@ -205,7 +205,7 @@
       const { entry } = book;
       const order = book.underWay?.order;
       if (order?.operation !== OPERATION.LOAD) return;
-      const view = viewForPlan(book, { clock, profile: engine, running, leaving });
+      const view = viewForPlan(book, { clock, profile: engine, running, change });
       underWay.set(order.model, {
         model: order.model,
         readyMilliseconds: view.busyMilliseconds,
@@ -218,7 +218,7 @@
       isMissing(model),
     );
     const servers = usable.map((book) => {
-      const view = viewForPlan(book, { clock, profile: engine, running, leaving });
+      const view = viewForPlan(book, { clock, profile: engine, running, change });
       const least = starting.has(view.id)
         ? Math.max(1, ordersInMilliseconds)
         : ordersInMilliseconds;
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -26,11 +26,9 @@
   readonly running: number;
   /** It was loaded for requests that have not been served yet. */
   readonly fresh: boolean;
-  /** It is making way already. */
-  readonly leaving: boolean;
 }
 
-/** A server, as the planner sees it. */
+/** A server, as the planner sees it: as it will be once the change under way is done. */
 export interface PlannedServer {
   readonly id: string;
   readonly models: readonly PlannedModel[];
@@ -168,8 +166,7 @@
   const copies = new Map<string, number>();
   const runningOf = new Map<string, number>();
   servers.forEach(({ models }) =>
-    models.forEach(({ name, running, leaving }) => {
-      if (leaving) return;
+    models.forEach(({ name, running }) => {
       copies.set(name, (copies.get(name) ?? 0) + 1);
       runningOf.set(name, (runningOf.get(name) ?? 0) + running);
     }),
@@ -197,7 +194,7 @@
     const used = models.reduce((sum, resident) => sum + megabytesOf(profile, resident), 0);
     const missing = used + server.doubtfulMegabytes + model.megabytes - profile.weightsMegabytes;
     const removable = models
-      .filter(({ fresh, leaving }) => !fresh && !leaving)
+      .filter(({ fresh }) => !fresh)
       .map((resident) => ({
         resident,
         frees: megabytesOf(profile, resident),
@@ -268,7 +265,7 @@
       state.busyMilliseconds = best.readyMilliseconds;
       state.models = [
         ...state.models.filter((resident) => !best.victims.includes(resident)),
-        { name: model.name, adapters: 0, running: 1, fresh: true, leaving: false },
+        { name: model.name, adapters: 0, running: 1, fresh: true },
       ];
     }
     return {
