--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -18,6 +18,8 @@
   readonly loadedAt: Map<string, number>;
   /** No order goes out before this moment, by the monotonic clock. */
   notBefore: number;
+  /** The server carries out an order of another giver. */
+  foreignOrder: boolean;
   /** When the last order went out, by the monotonic clock. */
   orderedAt: number;
   /** When the last order was counted, by the monotonic clock. */
@@ -55,6 +57,8 @@
 const REPORT_LAG_MILLISECONDS = 600;
 /** Time until a server that carries out another giver's order is asked again. */
 const FOREIGN_ORDER_MILLISECONDS = 250;
+/** Rest of a load that another giver began, as far as anybody can tell: half of a slow one. */
+const FOREIGN_REST_MILLISECONDS = 3000;
 
 const adaptersOf = (entry: Pick<ServerEntry, 'models'>): Map<string, Set<string>> =>
   new Map(entry.models.map(({ name, adapters }) => [name, new Set(adapters)]));
@@ -68,6 +72,7 @@
     doubtful: [],
     loadedAt: new Map(),
     notBefore: 0,
+    foreignOrder: false,
     orderedAt: -Infinity,
     countedAt: -Infinity,
   };
@@ -159,8 +164,10 @@
   if (report.busy && !underWay) {
     opened.sequence = undefined;
     opened.notBefore = clock.monotonic() + FOREIGN_ORDER_MILLISECONDS;
+    opened.foreignOrder = true;
     return;
   }
+  opened.foreignOrder = false;
   if (underWay && (report.busy || !showsDone(underWay, models))) return;
   if (underWay) finishOrder(opened, clock);
   opened.models = models;
@@ -224,7 +231,11 @@
         !book.models.has(name) || now - (book.loadedAt.get(name) ?? -Infinity) < FRESH_MILLISECONDS,
     })),
     doubtfulMegabytes: doubtfulMegabytes(book, profile),
-    busyMilliseconds: Math.max(remaining, book.notBefore - now, 0),
+    busyMilliseconds: Math.max(
+      remaining,
+      book.notBefore - now,
+      book.foreignOrder ? FOREIGN_REST_MILLISECONDS : 0,
+    ),
     running: [...running.values()].reduce((sum, count) => sum + count, 0),
     inMemory: new Set(entry.inMemory),
     onDisk: new Set(entry.onDisk),
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -89,7 +89,7 @@
  */
 const CROWDED_PART = 1 / 4;
 /** Delay that a request which is not served counts as, in milliseconds. */
-const MISSED_MILLISECONDS = 10_000;
+const MISSED_MILLISECONDS = 6000;
 /** Delay that another copy spares a request which it takes over, in milliseconds. */
 const SPARED_MILLISECONDS = 500;
 /** Cost of a request that already runs where another copy is placed, in milliseconds. */
@@ -181,8 +181,8 @@
     const count = copies.get(name) ?? 1;
     const left = (runningOf.get(name) ?? 0) / Math.max(1, count - 1);
     const spare = count > 1 && left < crowded ? SPARE_PART : 1;
-    const rate = (creditPerSecond(name) / count) * spare;
-    return (wanted.has(name) ? rate * 2 + 1 : rate) + recency;
+    const rate = creditPerSecond(name) / count;
+    return ((wanted.has(name) ? rate * 2 + 1 : rate) + recency) * spare;
   };
 
   /** The models whose loss costs least among those that make enough room together. */
