Do not plan a model again whose load is being started

Ruled out one by one: plan, reports, adapters. The new scenario begins two loads without this change.

--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -177,7 +177,11 @@
         running: running(entry.id),
         models: [...models.keys()],
       })),
-      (model) => usable.some(({ underWay }) => underWay?.order.model === model),
+      (model) =>
+        usable.some(
+          ({ underWay, entry }) =>
+            underWay?.order.model === model || starting.get(entry.id)?.model === model,
+        ),
     );
 
   /** Busy models that nobody waits for: they are wanted as soon as their last server leaves. */
@@ -204,6 +208,11 @@
     usable.forEach((book) => {
       const { entry } = book;
       const order = book.underWay?.order;
+      const begun = starting.get(entry.id);
+      if (begun) {
+        const { model, readyMilliseconds } = begun;
+        underWay.set(model, { model, readyMilliseconds, server: entry.id });
+      }
       if (order?.operation !== OPERATION.LOAD) return;
       const view = viewForPlan(book, { clock, profile: engine, running, change });
       underWay.set(order.model, {
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -100,6 +100,8 @@
 const IN_USE_COST = 0.5;
 /** A model that was asked for this recently is kept before others with the same credit. */
 const RECENT_MILLISECONDS = 30_000;
+/** Requests a second that a model counts for besides which was asked for just now. */
+const RECENT_CREDIT = 0.1;
 
 interface Candidate {
   readonly server: PlannedServer;
@@ -177,7 +179,7 @@
 
   /** Credit lost each second if this copy goes. */
   const worthOf = ({ name }: PlannedModel): number => {
-    const recency = Math.max(0, 1 - idleMilliseconds(name) / RECENT_MILLISECONDS);
+    const recency = Math.max(0, 1 - idleMilliseconds(name) / RECENT_MILLISECONDS) * RECENT_CREDIT;
     const count = copies.get(name) ?? 1;
     const left = (runningOf.get(name) ?? 0) / Math.max(1, count - 1);
     const spare = count > 1 && left < crowded ? SPARE_PART : 1;
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -75,3 +75,9 @@
     And requests wait for "d" for 6 s
     Then the server holds "d"
     And no order was more than the server has room for
+
+  Scenario: A model is loaded once while the model before it makes way
+    Given two servers and the giver of their orders
+    And unloads take 400 ms
+    When requests wait for "d" for 2 s
+    Then the servers began 1 load
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -19,6 +19,7 @@
 interface CommanderWorld {
   clock: ManualClock;
   fakeEngine: FakeEngine;
+  secondEngine: FakeEngine | undefined;
   commander: Commander;
   leads: boolean;
 }
@@ -26,6 +27,8 @@
 /** A server whose orders, reports and entries behave as the users' do. */
 interface FakeEngine extends EngineControl {
   readonly entry: () => ServerEntry;
+  readonly id: string;
+  loads: number;
   models: Map<string, Set<string>>;
   overfilled: number;
   orders: number;
@@ -71,7 +74,7 @@
 
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {} };
 
-function createFakeEngine(clock: ManualClock): FakeEngine {
+function createFakeEngine(clock: ManualClock, id: string): FakeEngine {
   let born = 1;
   let sequence = 0;
   let busy = false;
@@ -96,6 +99,7 @@
   const begin = ({ operation, model }: Pick<Order, 'operation' | 'model'>, time: number): void => {
     busy = true;
     if (operation === OPERATION.LOAD) {
+      engine.loads += 1;
       const after = megabytes() + PROFILE.models.get(model)!.megabytes;
       if (after > SERVER_MEGABYTES) engine.overfilled += 1;
     }
@@ -130,6 +134,8 @@
   };
 
   const engine: FakeEngine = {
+    id,
+    loads: 0,
     models: new Map([
       ['a', new Set<string>()],
       ['b', new Set<string>()],
@@ -142,7 +148,7 @@
     uncounted: 0,
     begin,
     entry: () => ({
-      id: 's1',
+      id,
       service: 'llm',
       address: '127.0.0.1:1',
       failureDomain: 'd1',
@@ -184,11 +190,23 @@
   return engine;
 }
 
+const enginesOf = ({ fakeEngine, secondEngine }: CommanderWorld): readonly FakeEngine[] =>
+  secondEngine ? [fakeEngine, secondEngine] : [fakeEngine];
+
+const engineOf = (world: CommanderWorld, id: string): FakeEngine =>
+  enginesOf(world).find((engine) => engine.id === id)!;
+
+const entriesOf = (world: CommanderWorld): ReadonlyMap<string, ServerEntry> =>
+  new Map(enginesOf(world).map((engine) => [engine.id, engine.entry()]));
+
 function openCommander(world: CommanderWorld): void {
-  const { clock, fakeEngine: engine } = world;
+  const { clock } = world;
   const commander = createCommander({
     clock,
-    control: engine,
+    control: {
+      report: (server) => engineOf(world, server.id).report(server),
+      order: (server, order) => engineOf(world, server.id).order(server, order),
+    },
     logger: silent,
     holder: 'host-1',
     fencing: () => (world.leads ? 7 : undefined),
@@ -197,13 +215,13 @@
     demand: createDemand({ clock }),
     running: () => new Map(),
   });
-  commander.setServers(new Map([['s1', engine.entry()]]));
+  commander.setServers(entriesOf(world));
   Object.assign(world, { commander });
 }
 
 Before('@orders', function open(this: CommanderWorld) {
   const clock = createManualClock();
-  Object.assign(this, { clock, fakeEngine: createFakeEngine(clock), leads: true });
+  Object.assign(this, { clock, fakeEngine: createFakeEngine(clock, 's1'), leads: true });
 });
 
 After('@orders', function stop(this: CommanderWorld) {
@@ -214,6 +232,16 @@
   openCommander(this);
 });
 
+Given('two servers and the giver of their orders', function open(this: CommanderWorld) {
+  this.secondEngine = createFakeEngine(this.clock, 's2');
+  openCommander(this);
+});
+
+Then('the servers began {int} load', function check(this: CommanderWorld, count: number) {
+  const loads = enginesOf(this).reduce((sum, engine) => sum + engine.loads, 0);
+  assert.equal(loads, count);
+});
+
 Given('the giver of its orders', function open(this: CommanderWorld) {
   openCommander(this);
 });
@@ -223,7 +251,7 @@
 });
 
 Given('unloads take {int} ms', function slow(this: CommanderWorld, milliseconds: number) {
-  this.fakeEngine.unloadMilliseconds = milliseconds;
+  enginesOf(this).forEach((engine) => Object.assign(engine, { unloadMilliseconds: milliseconds }));
 });
 
 Given(
@@ -254,7 +282,7 @@
   async function wait(this: CommanderWorld, model: string, seconds: number) {
     const end = this.clock.monotonic() + seconds * 1000;
     while (this.clock.monotonic() < end) {
-      this.commander.setServers(new Map([['s1', this.fakeEngine.entry()]]));
+      this.commander.setServers(entriesOf(this));
       const entry = this.fakeEngine.entry();
       const loaded = entry.models.some(({ name }) => name === model);
       const want = { model, count: 1, credit: 1, objectiveMilliseconds: 1000 };
