--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -343,6 +343,8 @@
     ready: () => configuration !== undefined && !refusing,
     refuseNewWork: () => {
       refusing = true;
+      // A wait may last longer than the stop, and its request has not run yet.
+      waits.close();
     },
     release: () => {
       releasing.abort();
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -87,6 +87,8 @@
 /** Time that a new giver of orders needs until it may load a model. */
 const COMMANDER_SECONDS = 3;
 const MILLISECONDS_PER_SECOND = 1000;
+/** Another host takes the request at once. */
+const STOPPING_SECONDS = 0.05;
 /** Time in which a server usually has room for another model: a load and its use. */
 const NO_PLACE_SECONDS = 1;
 const NO_CAPACITY_SECONDS = 0.25;
@@ -115,6 +117,7 @@
 
 const refuseWait = ({ end, readyMilliseconds }: WaitResult, model: string): Refusal => {
   if (end === WAIT_END.GONE) return callerGone();
+  if (end === WAIT_END.STOPPING) return notRun(503, 'this host is stopping', STOPPING_SECONDS);
   if (end === WAIT_END.NO_PLACE) {
     return notRun(503, `no server has room for model "${model}" now`, NO_PLACE_SECONDS);
   }
--- a/packages/serving/src/waits.ts
+++ b/packages/serving/src/waits.ts
@@ -11,6 +11,8 @@
   /** Nobody gives orders to servers now. */
   NO_COMMANDER: 'no-commander',
   GONE: 'gone',
+  /** This host stops; another one can wait for the model. */
+  STOPPING: 'stopping',
 } as const;
 
 /** Result of a wait for a model. */
@@ -38,6 +40,8 @@
   noteReady(isReady: (model: string) => boolean): void;
   /** Ends the waits that the giver of orders says would last too long. */
   noteOutlook(outlook: readonly Outlook[]): void;
+  /** Ends all waits, those to come too: this host stops. */
+  close(): void;
   /** What is waited for, for the giver of orders. */
   wants(): readonly Want[];
 }
@@ -73,6 +77,8 @@
   /** Since when no server could take a model, as the giver of orders says. */
   const unplannedSince = new Map<string, number>();
 
+  let closed = false;
+
   const leftOf = ({ request, since }: Waiter): number =>
     request.remainingMilliseconds - (clock.monotonic() - since);
 
@@ -89,6 +95,10 @@
 
   const wait = (request: ModelWait): Promise<WaitResult> =>
     new Promise((resolve) => {
+      if (closed) {
+        resolve({ end: WAIT_END.STOPPING });
+        return;
+      }
       const { model, signal } = request;
       const isNew = !waiters.has(model);
       const waiting = waiters.get(model) ?? new Set<Waiter>();
@@ -148,6 +158,12 @@
         }
       });
     },
+    close: () => {
+      closed = true;
+      [...waiters.values()].forEach((waiting) =>
+        [...waiting].forEach(({ settle }) => settle({ end: WAIT_END.STOPPING })),
+      );
+    },
     wants: () =>
       [...waiters].map(([model, waiting]) => {
         const now = clock.monotonic();
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -75,6 +75,15 @@
       | says that it will be ready in 20000 ms | 200  |
       | says that no server has room           | 1000 |
 
+  Scenario: The host stops while a request waits for its model
+    Given a resumable route
+    And no server holds the model
+    And the giver of orders says that it will be ready in 5000 ms
+    And the host stops after 300 ms
+    When a request is served
+    Then the caller gets 503 with a wait
+    And it took at most 400 ms
+
   Scenario: A refused request costs no quota
     Given a once route
     And servers that one after another reject, reject, reject, reject, reject, answer
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -31,6 +31,7 @@
   quota: number | undefined;
   /** What the giver of orders says about the model; undefined where there is none. */
   outlook: { readonly readyMilliseconds?: number } | undefined;
+  stopsAfterMilliseconds: number | undefined;
   reply: RecordedReply;
   took: number;
 }
@@ -186,6 +187,8 @@
     if (clock.monotonic() < LONGEST_MILLISECONDS) clock.after(100, () => answer(waits));
   };
   const waits: ModelWaits = createModelWaits({ clock, onWant: () => answer(waits) });
+  const { stopsAfterMilliseconds } = world;
+  if (stopsAfterMilliseconds !== undefined) clock.after(stopsAfterMilliseconds, waits.close);
   const counted = world;
   return createServe<Call>({
     clock,
@@ -251,7 +254,12 @@
 
 Before('@serving', function reset(this: ServingWorld) {
   const empty = { sends: 0, atWork: 0, loaded: true, quota: undefined };
-  Object.assign(this, { clock: createManualClock(), outlook: undefined, ...empty });
+  Object.assign(this, {
+    clock: createManualClock(),
+    outlook: undefined,
+    stopsAfterMilliseconds: undefined,
+    ...empty,
+  });
 });
 
 Given(
@@ -295,6 +303,10 @@
   },
 );
 
+Given('the host stops after {int} ms', function stop(this: ServingWorld, milliseconds: number) {
+  this.stopsAfterMilliseconds = milliseconds;
+});
+
 Given('a workspace that may use {int} request', function quota(this: ServingWorld, count: number) {
   this.quota = count;
 });
