Read the change once more: one refusal of a stopping host, bounded prompt parts, dead pieces out

Found in the diff: the refusal of a stopping host stood twice (a wait that ends with the stop now has the code 'stopping' instead of 'no_capacity' in log and metrics; the caller's answer is the same); each server's prompt parts were remembered for ever, among them each request's own part, which no choice looks up: 5,000 are kept now; the commander's outlook(), a return value and the adapters on their way were read by nobody. The bound on prompt parts has no test of its own yet.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { createDirectory, type FleetConfiguration, type ServerEntry } from '@bulrushspar/catalogue';
 import { every, type Clock } from '@bulrushspar/clock';
-import { createRefusal, messageOf, REFUSAL, type Refusal } from '@bulrushspar/errors';
+import { messageOf } from '@bulrushspar/errors';
 import { createDemand, type EngineControl, type Outlook } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
@@ -13,6 +13,7 @@
   createServe,
   createServerStates,
   createServingMetrics,
+  stoppingRefusal,
   type Call,
   type SendCall,
   type Serve,
@@ -96,17 +97,6 @@
 const WANTS_MILLISECONDS = 100;
 /** Longest wait for an adapter: a load that is under way at its server, and the order. */
 const ADAPTER_MILLISECONDS = 2000;
-/** Retry-After of a host that stops: another host takes the request at once. */
-const STOPPING_SECONDS = 0.05;
-
-const stoppingRefusal = (): Refusal =>
-  createRefusal({
-    status: 503,
-    code: REFUSAL.STOPPING,
-    message: 'this host is stopping',
-    retryAfterSeconds: STOPPING_SECONDS,
-  });
-
 /** Starts an entry host; it serves as soon as it has a configuration. */
 export function startEntry<SomeCall extends Call>(
   options: EntryOptions<SomeCall>,
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -109,29 +109,27 @@
 /**
  * Takes what a server wrote about itself. The entry lags and does not say how many orders it
  * follows, so it only confirms orders, and shows what must be asked anew.
- * @returns whether the order under way is done
  */
-export function takeEntry(book: ServerBook, entry: ServerEntry, clock: Clock): boolean {
+export function takeEntry(book: ServerBook, entry: ServerEntry, clock: Clock): void {
   const opened = book;
   const restarted = entry.born !== opened.entry.born;
   opened.entry = entry;
   if (restarted) {
     reopenBook(opened);
-    return true;
+    return;
   }
   const models = adaptersOf(entry);
   if (opened.sequence === undefined) {
     opened.models = models;
-    return false;
+    return;
   }
   const { underWay } = opened;
   if (underWay && showsDone(underWay, models)) {
     finishOrder(opened, clock);
-    return true;
+    return;
   }
   const late = opened.doubtful.some(({ model }) => models.has(model) && !opened.models.has(model));
   if (late) opened.sequence = undefined;
-  return false;
 }
 
 /**
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -33,7 +33,6 @@
   setWants(host: string, wants: readonly Want[]): void;
   /** Forgets a host that is gone. */
   forgetHost(host: string): void;
-  outlook(): readonly Outlook[];
   /** Has an adapter loaded at a server that holds its model. @returns whether it is there soon */
   ensureAdapter(server: string, model: string, adapter: string): Promise<boolean>;
   stop(): void;
@@ -84,7 +83,6 @@
   const starting = new Map<string, PlannedLoad>();
   const change = (server: string): PlannedLoad | undefined => starting.get(server);
   let coldBegun: number[] = [];
-  let outlook: readonly Outlook[] = [];
   let planned = false;
   let lastToken: number | undefined;
 
@@ -263,7 +261,7 @@
     const wants = mergeWants();
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
-    outlook = engines.flatMap((service) => planService(service, wants, wait));
+    const outlook = engines.flatMap((service) => planService(service, wants, wait));
     if (outlook.length > 0) onOutlook(outlook, [...wantsByHost.keys()]);
   };
 
@@ -306,7 +304,6 @@
     forgetHost: (host) => {
       wantsByHost.delete(host);
     },
-    outlook: () => outlook,
     ensureAdapter,
     stop: stopPlanning,
   };
--- a/packages/loading/src/engine.ts
+++ b/packages/loading/src/engine.ts
@@ -46,8 +46,6 @@
   readonly busy: boolean;
   readonly sequence: number;
   readonly models: readonly ResidentModel[];
-  /** Adapters on their way, as model/adapter. */
-  readonly pendingAdapters: number;
 }
 
 /** Port to the servers for orders. */
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -84,7 +84,7 @@
     [...engine.models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }));
 
   const snapshot = (): void => {
-    const report = { born, busy, sequence, models: residents(), pendingAdapters: 0 };
+    const report = { born, busy, sequence, models: residents() };
     reports.push({ at: clock.monotonic(), report });
   };
 
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -87,6 +87,8 @@
 /** Time that a new giver of orders needs until it may load a model. */
 const COMMANDER_SECONDS = 3;
 const MILLISECONDS_PER_SECOND = 1000;
+/** Prompt parts remembered for each server; far more than are asked for while they are kept. */
+const MOST_PARTS = 5000;
 /** Another host takes the request at once. */
 const STOPPING_SECONDS = 0.05;
 /** Time in which a server usually has room for another model: a load and its use. */
@@ -106,6 +108,15 @@
     cause,
   });
 
+/** Refusal of a request by a host that stops. */
+export const stoppingRefusal = (): Refusal =>
+  createRefusal({
+    status: 503,
+    code: REFUSAL.STOPPING,
+    message: 'this host is stopping',
+    retryAfterSeconds: STOPPING_SECONDS,
+  });
+
 /** End of a request whose caller is gone. */
 export const callerGone = (): Refusal =>
   createRefusal({
@@ -117,7 +128,7 @@
 
 const refuseWait = ({ end, readyMilliseconds }: WaitResult, model: string): Refusal => {
   if (end === WAIT_END.GONE) return callerGone();
-  if (end === WAIT_END.STOPPING) return notRun(503, 'this host is stopping', STOPPING_SECONDS);
+  if (end === WAIT_END.STOPPING) return stoppingRefusal();
   if (end === WAIT_END.NO_PLACE) {
     return notRun(503, `no server has room for model "${model}" now`, NO_PLACE_SECONDS);
   }
@@ -226,7 +237,17 @@
 
   const notePrompt = (state: ServerState, need: ModelNeed): void => {
     const now = clock.monotonic();
-    need.promptParts.forEach(({ id }) => state.parts.set(partKey(need, id), now));
+    const { parts } = state;
+    // The last part is the request's own, which no choice looks up.
+    need.promptParts.slice(0, -1).forEach(({ id }) => {
+      const key = partKey(need, id);
+      parts.delete(key);
+      parts.set(key, now);
+    });
+    for (const oldest of parts.keys()) {
+      if (parts.size <= MOST_PARTS) break;
+      parts.delete(oldest);
+    }
   };
 
   /** Ends an attempt at a silent server where the request can go on elsewhere. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,7 +6,13 @@
   type AdmissionOptions,
   type Admitted,
 } from './admit.js';
-export { createAttempts, type Attempts, type AttemptsOptions, type Work } from './attempts.js';
+export {
+  createAttempts,
+  stoppingRefusal,
+  type Attempts,
+  type AttemptsOptions,
+  type Work,
+} from './attempts.js';
 export {
   isRepeatable,
   type AnswerHead,
