Share tries, choice and relay between both interfaces

Ruled out: one admission for both, since credit slots and quota copies rest on different promises (docs/design/platform.md). Change: routing holds sendUntilAnswered, chooseServer and the relays; gateway and serving give them functions. A relay lives for the whole request at the gateway too.

--- a/packages/gateway/src/pick.ts
+++ b/packages/gateway/src/pick.ts
@@ -1,5 +1,5 @@
-import { chooseServer, holdsModel } from '@bulrushspar/routing';
-import { reportOf, type ServerView } from '@bulrushspar/targets';
+import { chooseServer } from '@bulrushspar/routing';
+import { holdsModel, reportOf, type ServerView } from '@bulrushspar/targets';
 import type { ChatRequest } from './chat.js';
 import { whileOpen, type RequestContext } from './context.js';
 import type { GatewayServices } from './services.js';
@@ -20,6 +20,17 @@
   ): Promise<ServerView | undefined>;
 }
 
+const OTHER_DOMAIN_COST = 0.5;
+const MISSING_ADAPTER_COST = 2;
+/** Hosts share the servers' lagging reports, so each compares only two at random. */
+const COMPARED = 2;
+
+/** Requests that a server has, as far as its last report and this host's own requests tell. */
+function workOf(server: ServerView, model: string): number {
+  const { running = 0, waiting = 0 } = reportOf(server, model) ?? {};
+  return Math.max(running + waiting, server.outstanding);
+}
+
 /** Creates the picker of one host. */
 export function createPicker(services: GatewayServices): Picker {
   const { clock, random, failureDomain, registry, placer, queues, metrics } = services;
@@ -43,10 +54,20 @@
   ): Promise<ServerView | undefined> => {
     await ensureLoaded(context, chat);
     const { model, adapter } = chat;
-    const needs = { model, adapter, failureDomain, excluded };
-    const server = chooseServer(registry.servers(), needs, random);
+    const lacksAdapter = (server: ServerView): boolean =>
+      adapter !== undefined && !(reportOf(server, model)?.adapters.includes(adapter) ?? false);
+    const server = chooseServer({
+      candidates: registry.servers(),
+      isAble: (candidate) => holdsModel(candidate, model) && !excluded.has(candidate.name),
+      cost: (candidate) =>
+        workOf(candidate, model) +
+        (lacksAdapter(candidate) ? MISSING_ADAPTER_COST : 0) +
+        (candidate.target.failure_domain === failureDomain ? 0 : OTHER_DOMAIN_COST),
+      random,
+      compared: COMPARED,
+    });
     if (!server || adapter === undefined) return server;
-    if (!reportOf(server, model)?.adapters.includes(adapter)) {
+    if (lacksAdapter(server)) {
       context.tracer.add('waits for an adapter', `${adapter} on ${server.name}`);
       await whileOpen(context, placer.ensureAdapter(server, model, adapter));
     }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -8,13 +8,13 @@
 } from '@bulrushspar/errors';
 import { findKey, removeCredentials, type CleanRequest } from '@bulrushspar/keys';
 import { fingerprintCall, type Performed, type RecordedAnswer } from '@bulrushspar/ledger';
+import { sendUntilAnswered } from '@bulrushspar/routing';
 import {
   exchange,
   EXCHANGE_FAULT,
   isExchangeError,
   PROGRESS,
   type AnswerHead,
-  type ExchangeError,
   type ServiceView,
 } from '@bulrushspar/targets';
 import { applyDeadline, authenticate, authorize, refuseKeyInside } from './access.js';
@@ -37,6 +37,9 @@
 const MILLISECONDS_PER_SECOND = 1000;
 const BAD_GATEWAY = 502;
 
+const wasNotSent = (error: unknown): boolean =>
+  isExchangeError(error) && error.progress === PROGRESS.NOT_SENT;
+
 const DROPPED_ANSWER_HEADERS = new Set([
   'connection',
   'keep-alive',
@@ -124,7 +127,7 @@
     if (isRefusal(error)) return error;
     if (context.signal.aborted) return context.signal.reason as Refusal;
     const silent = isExchangeError(error) && error.fault === EXCHANGE_FAULT.SILENT;
-    const notSent = isExchangeError(error) && error.progress === PROGRESS.NOT_SENT;
+    const notSent = wasNotSent(error);
     const whenSent = silent ? REFUSAL.TARGET_SILENT : REFUSAL.TARGET_FAILED;
     const code = notSent ? REFUSAL.TARGET_UNREACHABLE : whenSent;
     return createRefusal({
@@ -145,51 +148,64 @@
       retryAfterSeconds: 1,
     });
 
+  /**
+   * Sends a call to one target after another until it is answered.
+   * @param send sends it once
+   * @param mayGoOn tells whether the call may go to another target after a failure
+   */
+  const sendAround = (
+    { tracer }: RequestContext,
+    { named }: ServiceCall,
+    send: (target: ServiceView) => Promise<RecordedAnswer>,
+    mayGoOn: (error: unknown) => boolean,
+  ): Promise<RecordedAnswer> => {
+    const tried = new Set<string>();
+    return sendUntilAnswered<ServiceView, RecordedAnswer>({
+      next: (last) => {
+        const target = tried.size < MOST_TRIES ? pickTarget(named, tried) : undefined;
+        if (!target) return Promise.reject(last ?? noTarget());
+        if (tried.size > 0) metrics.retries.add();
+        tried.add(target.name);
+        return Promise.resolve(target);
+      },
+      send,
+      judge: (target, error) => {
+        if (!mayGoOn(error)) throw error;
+        tracer.add('failed', `${target.name}: ${(error as Error).message}`);
+      },
+    });
+  };
+
   const callRepeatable = async (
     context: RequestContext,
     call: ServiceCall,
   ): Promise<RecordedAnswer> => {
-    const excluded = new Set<string>();
-    let last: unknown;
     let mayHaveRun = false;
-    for (let tries = 0; tries < MOST_TRIES; tries += 1) {
-      const target = pickTarget(call.named, excluded);
-      if (!target) break;
-      if (tries > 0) metrics.retries.add();
-      try {
-        // eslint-disable-next-line no-await-in-loop -- tries follow one another
-        return await sendOnce(context, call, target, context.signal, false);
-      } catch (error) {
-        if (context.signal.aborted) throw context.signal.reason;
-        context.tracer.add('failed', `${target.name}: ${(error as Error).message}`);
-        last = error;
-        mayHaveRun ||= (error as Partial<ExchangeError>).progress !== PROGRESS.NOT_SENT;
-        excluded.add(target.name);
-      }
+    const send = (target: ServiceView) => sendOnce(context, call, target, context.signal, false);
+    const mayGoOn = (error: unknown): boolean => {
+      mayHaveRun ||= !wasNotSent(error);
+      return !context.signal.aborted;
+    };
+    try {
+      return await sendAround(context, call, send, mayGoOn);
+    } catch (error) {
+      if (context.signal.aborted) throw context.signal.reason;
+      const refusal = refusalOf(context, error);
+      throw mayHaveRun ? afterEarlierTry(refusal) : refusal;
     }
-    const refusal = last === undefined ? noTarget() : refusalOf(context, last);
-    throw mayHaveRun ? afterEarlierTry(refusal) : refusal;
   };
 
   const performOnce = async (context: RequestContext, call: ServiceCall): Promise<Performed> => {
-    const excluded = new Set<string>();
-    let refusal = noTarget();
-    for (let tries = 0; tries < MOST_TRIES; tries += 1) {
-      const target = pickTarget(call.named, excluded);
-      if (!target) return { sent: false, refusal };
+    const send = (target: ServiceView) => {
       const limit = AbortSignal.timeout(Math.max(1, Math.ceil(context.remainingMilliseconds())));
-      try {
-        // eslint-disable-next-line no-await-in-loop -- only a call that was not sent is tried again
-        const answer = await sendOnce(context, call, target, limit, true);
-        return { sent: true, answer };
-      } catch (error) {
-        refusal = refusalOf(context, error);
-        const certainlyNotSent = (error as Partial<ExchangeError>).progress === PROGRESS.NOT_SENT;
-        if (!certainlyNotSent) return { sent: 'unknown', refusal };
-        excluded.add(target.name);
-      }
+      return sendOnce(context, call, target, limit, true);
+    };
+    try {
+      return { sent: true, answer: await sendAround(context, call, send, wasNotSent) };
+    } catch (error) {
+      const certainlyNotSent = isRefusal(error) || wasNotSent(error);
+      return { sent: certainlyNotSent ? false : 'unknown', refusal: refusalOf(context, error) };
     }
-    return { sent: false, refusal };
   };
 
   const callOnce = async (context: RequestContext, call: ServiceCall): Promise<RecordedAnswer> => {
--- a/packages/gateway/src/queues.ts
+++ b/packages/gateway/src/queues.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bulrushspar/clock';
 import type { Configuration } from '@bulrushspar/configuration';
-import { createFairQueue, holdsModel, type FairQueue } from '@bulrushspar/routing';
-import type { TargetRegistry } from '@bulrushspar/targets';
+import { createFairQueue, type FairQueue } from '@bulrushspar/routing';
+import { holdsModel, type TargetRegistry } from '@bulrushspar/targets';
 
 /** One fair queue for each model, and when the model was last used. */
 export interface ModelQueues {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -1,6 +1,13 @@
 import type { ServerResponse } from 'node:http';
 import { createRefusal, RAN, REFUSAL, type Refusal } from '@bulrushspar/errors';
-import type { AnswerHead, AnswerReceiver, FlowControl } from '@bulrushspar/targets';
+import {
+  createStreamRelay,
+  createWholeRelay,
+  type AnswerOutlet,
+  type Relay,
+  type RelayedHead,
+} from '@bulrushspar/routing';
+import type { AnswerHead } from '@bulrushspar/targets';
 import { REQUEST_ID_HEADER } from './answer.js';
 
 /** Tokens that an answer reports. */
@@ -9,22 +16,25 @@
   readonly completionTokens: number;
 }
 
+/** Head of a model's answer. */
+export interface ModelHead extends RelayedHead {
+  /** Request that the answer belongs to, if the server says so. */
+  readonly callId?: string;
+  /** Bytes of the body, if the server says so. */
+  readonly length?: number;
+}
+
 /** Passes a model's answer on to its caller. */
-export interface ModelRelay extends AnswerReceiver {
-  /** Tells whether the caller has received anything. */
-  begun(): boolean;
-  /** Ends the answer; throws a refusal where it is not whole. */
-  finish(): void;
-  /** Time from the start until the first token, in milliseconds; undefined before it. */
-  firstTokenAt(): number | undefined;
+export interface ModelRelay extends Relay<ModelHead> {
   usage(): Usage;
 }
 
-/** Options of {@link createStreamRelay} and {@link createWholeRelay}. */
-export interface RelayOptions {
+/** Options of {@link createModelRelay}. */
+export interface ModelRelayOptions {
   readonly response: ServerResponse;
   readonly requestId: string;
-  readonly now: () => number;
+  /** The caller wants the answer token by token. */
+  readonly stream: boolean;
   readonly onFirstToken: () => void;
 }
 
@@ -42,7 +52,6 @@
 const UNAVAILABLE = 503;
 const NOT_RUN_STATUSES = new Set([NOT_FOUND, TOO_MANY_REQUESTS, UNAVAILABLE]);
 const BAD_GATEWAY = 502;
-const LARGEST_WHOLE_ANSWER = 16_000_000;
 const TAIL_CHUNKS = 8;
 const EVENT_MARK = Buffer.from('data: ');
 const DONE_MARK = 'data: [DONE]';
@@ -56,6 +65,14 @@
     ran: status < 500 ? RAN.NO : RAN.UNKNOWN,
   });
 
+const tooLarge = (bytes: number): Refusal =>
+  createRefusal({
+    status: BAD_GATEWAY,
+    code: REFUSAL.TARGET_FAILED,
+    message: `the server's answer is larger than ${bytes} bytes`,
+    ran: RAN.YES,
+  });
+
 const cut = (): Refusal =>
   createRefusal({
     status: BAD_GATEWAY,
@@ -66,9 +83,8 @@
   });
 
 /** Checks the head of an answer; throws where the answer must not reach the caller. */
-function checkHead({ status, headers }: AnswerHead, requestId: string): void {
-  const answered = headers[REQUEST_ID_HEADER];
-  if (answered !== undefined && answered !== requestId) {
+function checkHead({ status, callId }: ModelHead, requestId: string): void {
+  if (callId !== undefined && callId !== requestId) {
     throw createRefusal({
       status: BAD_GATEWAY,
       code: REFUSAL.ANSWER_MISMATCHED,
@@ -101,93 +117,73 @@
   };
 }
 
-/** Creates a relay that passes server-sent events on as they arrive, with backpressure. */
-export function createStreamRelay(options: RelayOptions): ModelRelay {
-  const { response, requestId, now, onFirstToken } = options;
-  let flow: FlowControl | undefined;
-  let first: number | undefined;
-  let events = 0;
-  const tail: Buffer[] = [];
-  const onDrain = (): void => flow?.resume();
-
-  /** The head waits for the first byte: until then another server may still answer. */
-  const begin = (): void => {
-    onFirstToken();
-    response.on('drain', onDrain);
-    // Set one by one: a later refusal reads the type back to end the stream with an event.
-    response.setHeader('content-type', 'text/event-stream');
-    response.setHeader('cache-control', 'no-store');
-    response.setHeader(REQUEST_ID_HEADER, requestId);
-    response.writeHead(OK);
-  };
-
-  const remember = (chunk: Buffer): void => {
-    tail.push(chunk);
-    if (tail.length > TAIL_CHUNKS) tail.shift();
+/** Decodes the head of an engine's answer, with the headers that its caller gets. */
+export function decodeModelHead({ status, headers }: AnswerHead, stream: boolean): ModelHead {
+  const callId = headers[REQUEST_ID_HEADER];
+  const length = headers['content-length'];
+  return {
+    status,
+    framed: true,
+    headers: stream
+      ? ['content-type', 'text/event-stream', 'cache-control', 'no-store']
+      : ['content-type', 'application/json'],
+    ...(callId === undefined ? {} : { callId: String(callId) }),
+    ...(length === undefined ? {} : { length: Number(length) }),
   };
+}
 
+function createOutlet(response: ServerResponse, requestId: string): AnswerOutlet {
   return {
-    onHead: (head, control) => {
-      checkHead(head, requestId);
-      flow = control;
-    },
-    onData: (chunk) => {
-      if (first === undefined) {
-        first = now();
-        begin();
-      }
-      events += countMarks(chunk);
-      remember(chunk);
-      if (!response.write(chunk)) flow?.pause();
-    },
     begun: () => response.headersSent,
-    finish: () => {
-      response.off('drain', onDrain);
-      if (!Buffer.concat(tail).includes(DONE_MARK)) throw cut();
-      response.end();
+    begin: (status, headers) => {
+      // Set one by one: a later refusal reads the type back to end the stream with an event.
+      for (let at = 0; at < headers.length; at += 2) {
+        response.setHeader(headers[at]!, headers[at + 1]!);
+      }
+      response.setHeader(REQUEST_ID_HEADER, requestId);
+      response.writeHead(status);
     },
-    firstTokenAt: () => first,
-    usage: () =>
-      readUsage(Buffer.concat(tail).toString('latin1')) ?? {
-        completionTokens: Math.max(0, events - EVENTS_WITHOUT_TOKEN),
-      },
+    write: (chunk) => response.write(chunk),
+    onDrain: (action) => response.on('drain', action),
+    end: () => response.end(),
   };
 }
 
-/** Creates a relay that delivers an answer once it is whole. */
-export function createWholeRelay(options: RelayOptions): ModelRelay {
-  const { response, requestId, now, onFirstToken } = options;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  let first: number | undefined;
-  let expected: number | undefined;
-  return {
-    onHead: (head) => {
-      checkHead(head, requestId);
-      const length = head.headers['content-length'];
-      if (length !== undefined) expected = Number(length);
-    },
-    onData: (chunk) => {
-      if (first === undefined) {
-        first = now();
-        onFirstToken();
-      }
-      size += chunk.length;
-      if (size > LARGEST_WHOLE_ANSWER) throw failed(BAD_GATEWAY);
-      chunks.push(chunk);
+/** Creates the relay of one request; a stream counts as whole only with its last event. */
+export function createModelRelay(options: ModelRelayOptions): ModelRelay {
+  const { response, requestId, stream, onFirstToken } = options;
+  let events = 0;
+  const tail: Buffer[] = [];
+  const common = {
+    outlet: createOutlet(response, requestId),
+    onFirst: onFirstToken,
+    check: (head: ModelHead) => checkHead(head, requestId),
+    onPiece: (chunk: Buffer) => {
+      events += countMarks(chunk);
+      tail.push(chunk);
+      if (stream && tail.length > TAIL_CHUNKS) tail.shift();
     },
-    begun: () => response.headersSent,
-    finish: () => {
-      if (expected !== undefined && expected !== size) throw cut();
-      const body = Buffer.concat(chunks);
-      response.writeHead(OK, {
-        'content-type': 'application/json',
-        'content-length': body.length,
-        [REQUEST_ID_HEADER]: requestId,
+  };
+  const tailText = (): string => Buffer.concat(tail).toString('utf8');
+  const relay = stream
+    ? createStreamRelay<ModelHead>({
+        ...common,
+        resumable: false,
+        broken: cut,
+        checkEnd: () => {
+          if (!tailText().includes(DONE_MARK)) throw cut();
+        },
+      })
+    : createWholeRelay<ModelHead>({
+        ...common,
+        tooLarge,
+        checkEnd: ({ length }, bytes) => {
+          if (length !== undefined && length !== bytes) throw cut();
+        },
       });
-      response.end(body);
-    },
-    firstTokenAt: () => first,
-    usage: () => readUsage(Buffer.concat(chunks).toString('utf8')) ?? { completionTokens: 0 },
+  const tokensSeen = (): number => (stream ? Math.max(0, events - EVENTS_WITHOUT_TOKEN) : 0);
+  return {
+    ...relay,
+    usage: () => readUsage(tailText()) ?? { completionTokens: tokensSeen() },
   };
 }
--- a/packages/gateway/src/tries.ts
+++ b/packages/gateway/src/tries.ts
@@ -1,4 +1,4 @@
-import { startStopwatch } from '@bulrushspar/clock';
+import { startStopwatch, type Stopwatch } from '@bulrushspar/clock';
 import {
   afterEarlierTry,
   createRefusal,
@@ -8,13 +8,14 @@
   type Refusal,
   type RefusalCode,
 } from '@bulrushspar/errors';
+import { sendUntilAnswered } from '@bulrushspar/routing';
 import { exchange, isExchangeError, PROGRESS, type ServerView } from '@bulrushspar/targets';
 import { REQUEST_ID_HEADER } from './answer.js';
 import type { ChatRequest } from './chat.js';
 import type { RequestContext } from './context.js';
 import type { Isolated, Watch } from './isolation.js';
 import type { Picker } from './pick.js';
-import { createStreamRelay, createWholeRelay, isNotRun, type ModelRelay } from './relay.js';
+import { createModelRelay, decodeModelHead, isNotRun, type ModelRelay } from './relay.js';
 import type { GatewayServices } from './services.js';
 
 const MOST_TRIES = 4;
@@ -22,12 +23,19 @@
 const REPEATED_CODES = new Set<RefusalCode>([REFUSAL.ANSWER_MISMATCHED, REFUSAL.ANSWER_CUT]);
 const MILLISECONDS_PER_SECOND = 1000;
 
-/** A server and the right to run the request there. */
-interface Try {
+/** A server, if there is one, and the right to run the request there. */
+interface Prepared {
   readonly turn: Isolated;
   readonly server: ServerView | undefined;
 }
 
+/** One try of a request. */
+interface Try {
+  readonly turn: Isolated;
+  readonly server: ServerView;
+  readonly sinceSent: Stopwatch;
+}
+
 const unreachable = (cause: unknown): Refusal =>
   createRefusal({
     status: 502,
@@ -82,16 +90,6 @@
 export function createServe(services: GatewayServices, picker: Picker): Serve {
   const { clock, registry, metrics } = services;
 
-  const createRelay = (context: RequestContext, chat: ChatRequest): ModelRelay => {
-    const create = chat.stream ? createStreamRelay : createWholeRelay;
-    return create({
-      response: context.response,
-      requestId: context.tracer.id,
-      now: context.age,
-      onFirstToken: () => metrics.firstToken.record(context.age()),
-    });
-  };
-
   const send = async (
     context: RequestContext,
     chat: ChatRequest,
@@ -100,6 +98,7 @@
   ): Promise<void> => {
     const view = server;
     const { hosts } = services.accepted().configuration;
+    const sink = relay.openSink();
     view.outstanding += 1;
     context.markSent();
     context.tracer.add('sent', server.name);
@@ -116,7 +115,10 @@
           },
           body: chat.body,
         },
-        receiver: relay,
+        receiver: {
+          onHead: (head, flow) => sink.onHead(decodeModelHead(head, chat.stream), flow),
+          onData: sink.onData,
+        },
         signal: context.signal,
         silenceMilliseconds: hosts.silence_seconds * MILLISECONDS_PER_SECOND,
       });
@@ -132,7 +134,7 @@
     chat: ChatRequest,
     watch: Watch,
     failed: ReadonlyMap<string, ServerView>,
-  ): Promise<Try> => {
+  ): Promise<Prepared> => {
     // The load comes first, so that no turn is held during it.
     await picker.ensureLoaded(context, chat);
     const turn = await watch.enter();
@@ -143,43 +145,60 @@
     return prepare(context, chat, watch, failed);
   };
 
-  return async (context, chat, watch) => {
+  return (context, chat, watch) => {
+    const { tracer } = context;
     const failed = new Map<string, ServerView>();
-    let last: unknown;
+    const relay = createModelRelay({
+      response: context.response,
+      requestId: tracer.id,
+      stream: chat.stream,
+      onFirstToken: () => metrics.firstToken.record(context.age()),
+    });
+    let tries = 0;
     let failuresAfterSending = 0;
-    for (let tries = 0; tries < MOST_TRIES && failuresAfterSending < MOST_FAILURES; tries += 1) {
-      /* eslint-disable no-await-in-loop -- tries follow one another */
+
+    const giveUp = (last: unknown): Refusal => {
+      const verdict = watch.verdict();
+      if (verdict) return afterEarlierTry(verdict);
+      return failuresAfterSending > 0 ? interrupted(last) : unreachable(last);
+    };
+
+    const next = async (last: unknown): Promise<Try> => {
+      if (tries >= MOST_TRIES || failuresAfterSending >= MOST_FAILURES) throw giveUp(last);
       const { turn, server } = await prepare(context, chat, watch, failed).catch(
         refuseAfter(failuresAfterSending),
       );
       if (!server) {
         turn.leave();
-        break;
+        throw giveUp(last);
       }
       if (tries > 0) metrics.retries.add();
-      const relay = createRelay(context, chat);
-      const sinceSent = startStopwatch(clock);
+      tries += 1;
+      return { turn, server, sinceSent: startStopwatch(clock) };
+    };
+
+    const sendOnce = async ({ turn, server }: Try): Promise<ModelRelay> => {
+      await send(context, chat, server, relay);
+      watch.clear();
+      turn.leave();
+      return relay;
+    };
+
+    const judgeTry = async ({ turn, server, sinceSent }: Try, error: unknown): Promise<void> => {
       try {
-        await send(context, chat, server, relay);
-        watch.clear();
-        return relay;
-      } catch (error) {
         const inspected = watch.inspect(server, error, sinceSent);
         const refusal = judge(context, error, relay.begun());
         if (refusal) throw refusal;
         await inspected;
-        context.tracer.add('failed', `${server.name}: ${(error as Error).message}`);
+        tracer.add('failed', `${server.name}: ${(error as Error).message}`);
         if (!certainlyNotRun(error)) failuresAfterSending += 1;
-        last = error;
         failed.set(server.name, server);
         await registry.refresh(server);
       } finally {
         turn.leave();
       }
-      /* eslint-enable no-await-in-loop */
-    }
-    const verdict = watch.verdict();
-    if (verdict) throw afterEarlierTry(verdict);
-    throw failuresAfterSending > 0 ? interrupted(last) : unreachable(last);
+    };
+
+    return sendUntilAnswered({ next, send: sendOnce, judge: judgeTry });
   };
 }
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -1,55 +1,45 @@
-import { reportOf, type ServerView } from '@bulrushspar/targets';
-
-/** What a request needs of a server. */
-export interface ServerNeeds {
-  readonly model: string;
-  readonly adapter?: string;
-  /** Failure domain of this host. */
-  readonly failureDomain: string;
-  /** Servers that already failed this request. */
-  readonly excluded: ReadonlySet<string>;
-}
-
 /** Random numbers from 0 up to but not including 1. */
 export type Random = () => number;
 
-const OTHER_DOMAIN_COST = 0.5;
-const MISSING_ADAPTER_COST = 2;
-
-/** Tells whether a server holds a model and takes new work. */
-export function holdsModel(server: ServerView, model: string): boolean {
-  return !server.target.leaving && reportOf(server, model) !== undefined;
+/** What a choice between servers depends on. */
+export interface Choice<Server> {
+  readonly candidates: readonly Server[];
+  /** Tells whether a server can take the request at all. */
+  readonly isAble: (server: Server) => boolean;
+  /** Tells whether a server failed lately, so that it is taken only where there is no other. */
+  readonly isAvoided?: (server: Server) => boolean;
+  /** Expected cost of the request there; the least is chosen. */
+  readonly cost: (server: Server) => number;
+  readonly random: Random;
+  /**
+   * Servers that are compared, chosen at random; all of them where it is left out. Comparing two
+   * keeps hosts that share a lagging report from all choosing the same one.
+   */
+  readonly compared?: number;
 }
 
-/** Work that a server has, as far as its last report and this host's own requests tell. */
-export function loadOf(server: ServerView, needs: ServerNeeds): number {
-  const report = reportOf(server, needs.model);
-  const reported = (report?.running ?? 0) + (report?.waiting ?? 0);
-  const adapterMissing =
-    needs.adapter !== undefined && !(report?.adapters.includes(needs.adapter) ?? false);
-  const distant = server.target.failure_domain !== needs.failureDomain;
-  return (
-    Math.max(reported, server.outstanding) +
-    (adapterMissing ? MISSING_ADAPTER_COST : 0) +
-    (distant ? OTHER_DOMAIN_COST : 0)
-  );
+/** @returns so many of the servers, in random order */
+function sample<Server>(servers: readonly Server[], count: number, random: Random): Server[] {
+  const left = [...servers];
+  const chosen: Server[] = [];
+  while (chosen.length < count && left.length > 0) {
+    chosen.push(...left.splice(Math.floor(random() * left.length), 1));
+  }
+  return chosen;
 }
 
-/**
- * Chooses a server that holds the model: the less loaded of two random ones, so that hosts that
- * share a lagging report do not all choose the same one.
- */
-export function chooseServer(
-  servers: readonly ServerView[],
-  needs: ServerNeeds,
-  random: Random,
-): ServerView | undefined {
-  const candidates = servers.filter(
-    (server) => holdsModel(server, needs.model) && !needs.excluded.has(server.name),
-  );
-  if (candidates.length <= 1) return candidates[0];
-  const first = Math.floor(random() * candidates.length);
-  const step = 1 + Math.floor(random() * (candidates.length - 1));
-  const [a, b] = [candidates[first]!, candidates[(first + step) % candidates.length]!];
-  return loadOf(a, needs) <= loadOf(b, needs) ? a : b;
+/** Chooses the server with the least cost among those that can take the request. */
+export function chooseServer<Server>(choice: Choice<Server>): Server | undefined {
+  const { candidates, isAble, isAvoided = () => false, cost, random, compared } = choice;
+  const able = candidates.filter(isAble);
+  const trusted = able.filter((server) => !isAvoided(server));
+  const usable = trusted.length > 0 ? trusted : able;
+  const pool = compared === undefined ? usable : sample(usable, compared, random);
+  let best: Server | undefined;
+  let least = Infinity;
+  pool.forEach((server) => {
+    const expected = cost(server);
+    if (expected < least) [best, least] = [server, expected];
+  });
+  return best;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
-/** Which server runs a request, and which waiting request runs next. */
-export { chooseServer, holdsModel, loadOf, type Random, type ServerNeeds } from './choose.js';
+/** What all fronts share: which server runs a request, its tries, the relay of the answer. */
+export { chooseServer, type Choice, type Random } from './choose.js';
+export { createEventSplitter, type EventSplitter } from './events.js';
 export {
   createFairQueue,
   type FairQueue,
@@ -7,6 +8,16 @@
   type QueueRequest,
   type Ticket,
 } from './queue.js';
+export {
+  createStreamRelay,
+  createWholeRelay,
+  type AnswerOutlet,
+  type AnswerSink,
+  type Relay,
+  type RelayedHead,
+  type RelayOptions,
+  type StreamRelayOptions,
+} from './relay.js';
 export {
   createSuspects,
   type CrashReport,
@@ -14,3 +25,4 @@
   type Suspects,
   type SuspectsOptions,
 } from './suspects.js';
+export { sendUntilAnswered, type Tries } from './tries.js';
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -9,10 +9,11 @@
   type Refusal,
 } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
-import type { Suspects } from '@bulrushspar/routing';
+import { sendUntilAnswered, type Relay, type Suspects } from '@bulrushspar/routing';
 import type { RetryBudget } from '@bulrushspar/shares';
 import { EXCHANGE_FAULT, isExchangeError, PROGRESS } from '@bulrushspar/targets';
 import type { Admitted } from './admit.js';
+import { ANSWER_FAULT, isAnswerError } from './answer.js';
 import {
   isRepeatable,
   type AnswerHead,
@@ -21,9 +22,8 @@
   type Reply,
   type SendCall,
 } from './call.js';
-import { chooseServer, partKey } from './choose.js';
+import { chooseHolder, partKey } from './choose.js';
 import type { ServingMetrics } from './metrics.js';
-import { ANSWER_FAULT, isAnswerError, type Relay } from './relay.js';
 import type { ServerState, ServerStates } from './servers.js';
 import { WAIT_END, type ModelWaits, type WaitResult } from './waits.js';
 
@@ -32,7 +32,7 @@
   readonly call: SomeCall;
   readonly reply: Reply;
   readonly admitted: Admitted;
-  readonly relay: Relay;
+  readonly relay: Relay<AnswerHead>;
   /** Ends all work for the request; its reason is a refusal. */
   readonly signal: AbortSignal;
   ageMilliseconds(): number;
@@ -95,6 +95,12 @@
 const NO_PLACE_SECONDS = 1;
 const NO_CAPACITY_SECONDS = 0.25;
 
+/** A server and when the request was sent there. */
+interface Sending {
+  readonly state: ServerState;
+  readonly sinceSent: Stopwatch;
+}
+
 const notRun = (status: number, message: string, retryAfterSeconds?: number): Refusal =>
   createRefusal({ status, code: REFUSAL.NO_CAPACITY, message, retryAfterSeconds });
 
@@ -147,7 +153,7 @@
   const { waits, budget, suspects, send, ensureAdapter } = options;
 
   const choose = ({ admitted, call, tried }: Work<SomeCall>, allowTried: boolean) =>
-    chooseServer({
+    chooseHolder({
       candidates: servers.of(admitted.service),
       need: call.need,
       failureDomain,
@@ -368,25 +374,21 @@
     }
   };
 
-  const run = async (work: Work<SomeCall>): Promise<ServerState> => {
-    let last: unknown;
-    for (;;) {
-      /* eslint-disable no-await-in-loop -- attempts follow one another */
-      const state = await pickNext(work, last);
-      Object.assign(work, { sends: work.sends + 1 });
-      work.tried.add(state.entry.id);
-      const sinceSent = startStopwatch(clock);
-      try {
+  const run = (work: Work<SomeCall>): Promise<ServerState> =>
+    sendUntilAnswered<Sending, ServerState>({
+      next: async (last) => {
+        const state = await pickNext(work, last);
+        Object.assign(work, { sends: work.sends + 1 });
+        work.tried.add(state.entry.id);
+        return { state, sinceSent: startStopwatch(clock) };
+      },
+      send: async ({ state }) => {
         await attempt(work, state);
         servers.noteOutcome(state, false);
         return state;
-      } catch (error) {
-        last = error;
-        judge(work, state, sinceSent, error);
-      }
-      /* eslint-enable no-await-in-loop */
-    }
-  };
+      },
+      judge: ({ state, sinceSent }, error) => judge(work, state, sinceSent, error),
+    });
 
   return { run, mayRunAgain };
 }
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -1,5 +1,5 @@
 import type { Route, ServerEntry } from '@bulrushspar/catalogue';
-import type { FlowControl } from '@bulrushspar/targets';
+import type { AnswerOutlet, AnswerSink as RelaySink, RelayedHead } from '@bulrushspar/routing';
 
 /** Part of a prompt that other requests may share. */
 export interface PromptPart {
@@ -52,28 +52,20 @@
 }
 
 /** Head of a server's answer. */
-export interface AnswerHead {
-  readonly status: number;
+export interface AnswerHead extends RelayedHead {
   /** The server states that it did not run the request. */
   readonly notRun: boolean;
   /** The server vouches for the answer. */
   readonly signed: boolean;
-  /** The answer says where it ends; otherwise it ends with its connection. */
-  readonly framed: boolean;
   /** Another server has the address now. */
   readonly otherServer: boolean;
   /** Request that the answer belongs to, if the server says so. */
   readonly callId?: string;
   readonly load?: ServerLoad;
-  /** Headers for the caller, names and values in turn. */
-  readonly headers: readonly string[];
 }
 
 /** Receives an answer; throwing ends the exchange with that error. */
-export interface AnswerSink {
-  onHead(head: AnswerHead, flow: FlowControl): void;
-  onData(chunk: Buffer): void;
-}
+export type AnswerSink = RelaySink<AnswerHead>;
 
 /** Port to the servers for requests. Rejects like `exchange` of the targets. */
 export type SendCall<SomeCall extends Call> = (
@@ -84,19 +76,9 @@
 ) => Promise<void>;
 
 /** The caller's end of a request. */
-export interface Reply {
+export interface Reply extends AnswerOutlet {
   /** Aborted once the caller is gone. */
   readonly gone: AbortSignal;
-  begun(): boolean;
-  /**
-   * @param headers names and values in turn
-   * @param framed false where nobody can tell whether the answer is whole
-   */
-  begin(status: number, headers: readonly string[], framed: boolean): void;
-  /** @returns whether the caller keeps up; otherwise onDrain tells when it does again */
-  write(chunk: Buffer): boolean;
-  onDrain(action: () => void): void;
-  end(): void;
   /** Ends the connection, so that what was sent does not look whole. */
   breakOff(): void;
   refuse(status: number, message: string, retryAfterMilliseconds?: number): void;
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -1,3 +1,4 @@
+import { chooseServer } from '@bulrushspar/routing';
 import type { ModelNeed } from './call.js';
 import type { ServerState } from './servers.js';
 
@@ -74,19 +75,15 @@
 }
 
 /** Chooses the server with the least expected delay; one that failed lately only if it must be. */
-export function chooseServer(input: ChoiceInput): ServerState | undefined {
+export function chooseHolder(input: ChoiceInput): ServerState | undefined {
   const { candidates, need, excluded, now, random } = input;
-  const able = candidates.filter(
-    (state) =>
+  return chooseServer({
+    candidates,
+    isAble: (state) =>
       !excluded.has(state.entry.id) &&
       (need ? input.holdsModel(state, need.model) : !state.entry.leaving),
-  );
-  const trusted = able.filter(({ avoidUntil }) => avoidUntil <= now);
-  let best: ServerState | undefined;
-  let least = Infinity;
-  (trusted.length > 0 ? trusted : able).forEach((state) => {
-    const cost = costOf(state, input) + random() * JITTER_MILLISECONDS;
-    if (cost < least) [best, least] = [state, cost];
+    isAvoided: ({ avoidUntil }) => avoidUntil > now,
+    cost: (state) => costOf(state, input) + random() * JITTER_MILLISECONDS,
+    random,
   });
-  return best;
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,6 +6,16 @@
   type AdmissionOptions,
   type Admitted,
 } from './admit.js';
+export {
+  ANSWER_FAULT,
+  DELIVERY,
+  isAnswerError,
+  openRelay,
+  type AnswerError,
+  type AnswerFault,
+  type AnswerOptions,
+  type Delivery,
+} from './answer.js';
 export {
   createAttempts,
   stoppingRefusal,
@@ -25,19 +35,8 @@
   type SendCall,
   type ServerLoad,
 } from './call.js';
-export { chooseServer, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
-export { createEventSplitter, type EventSplitter } from './events.js';
+export { chooseHolder, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
 export { createServingMetrics, type ServingMetrics } from './metrics.js';
-export {
-  ANSWER_FAULT,
-  createStreamRelay,
-  createWholeRelay,
-  isAnswerError,
-  type AnswerError,
-  type AnswerFault,
-  type Relay,
-  type RelayOptions,
-} from './relay.js';
 export { createServe, type Serve, type ServeOptions } from './serve.js';
 export { createServerStates, type ServerState, type ServerStates } from './servers.js';
 export {
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -1,9 +1,10 @@
 /** The path of one request from its arrival to its end. */
-import { ROUTE_KIND } from '@bulrushspar/catalogue';
+import { ROUTE_KIND, type Route } from '@bulrushspar/catalogue';
 import { startStopwatch, type Stopwatch } from '@bulrushspar/clock';
 import { createRefusal, isRefusal, RAN, REFUSAL, type Refusal } from '@bulrushspar/errors';
 import type { Demand } from '@bulrushspar/loading';
 import type { Admission, Admitted } from './admit.js';
+import { DELIVERY, openRelay, type Delivery } from './answer.js';
 import {
   callerGone,
   createAttempts,
@@ -12,7 +13,6 @@
   type Work,
 } from './attempts.js';
 import type { Call, Reply } from './call.js';
-import { createStreamRelay, createWholeRelay, type Relay } from './relay.js';
 
 /** Serves one request; never rejects. */
 export type Serve<SomeCall extends Call> = (call: SomeCall, reply: Reply) => Promise<void>;
@@ -37,6 +37,11 @@
     ran: RAN.UNKNOWN,
   });
 
+const deliveryOf = ({ kind, resumable }: Route): Delivery => {
+  if (kind !== ROUTE_KIND.STREAM) return DELIVERY.WHOLE;
+  return resumable ? DELIVERY.RESUMABLE : DELIVERY.STREAM;
+};
+
 /** Creates the path of requests of one host. */
 export function createServe<SomeCall extends Call>(
   options: ServeOptions<SomeCall>,
@@ -44,20 +49,6 @@
   const { clock, logger, metrics, admission, demand, suspects, closed } = options;
   const attempts = createAttempts(options);
 
-  const openRelay = (
-    call: SomeCall,
-    reply: Reply,
-    { route }: Admitted,
-    onFirst: () => void,
-    mayRepeat: () => boolean,
-  ): Relay => {
-    const { id: callId, lastEventId } = call;
-    const relayOptions = { reply, callId, lastEventId, onFirst, mayRepeat };
-    return route.kind === ROUTE_KIND.STREAM
-      ? createStreamRelay(relayOptions, route.resumable)
-      : createWholeRelay(relayOptions);
-  };
-
   const refuse = (call: SomeCall, reply: Reply, error: unknown, milliseconds: number): void => {
     const { refusal, message } = isRefusal(error) ? error : failedAfterSending(error);
     if (!isRefusal(error)) logger.error('request failed', { request: call.id, error: message });
@@ -114,8 +105,13 @@
     const { route } = admitted;
     const allowed = Math.min(route.timeoutMilliseconds, call.patienceMilliseconds ?? Infinity);
     const { signal, cancel } = limit(reply, allowed);
-    const onFirst = (): void => metrics.firstByte.record(age());
-    const relay = openRelay(call, reply, admitted, onFirst, () => attempts.mayRunAgain(work));
+    const relay = openRelay(deliveryOf(route), {
+      reply,
+      callId: call.id,
+      lastEventId: call.lastEventId,
+      onFirst: () => metrics.firstByte.record(age()),
+      mayRepeat: () => attempts.mayRunAgain(work),
+    });
     const work: Work<SomeCall> = {
       call,
       reply,
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -29,6 +29,7 @@
 } from './exchange.js';
 export {
   createTargetRegistry,
+  holdsModel,
   isLoading,
   originOf,
   reportOf,
--- a/packages/targets/src/registry.ts
+++ b/packages/targets/src/registry.ts
@@ -56,6 +56,11 @@
   return state?.loaded.find((loaded) => loaded.model === model);
 }
 
+/** Tells whether a server holds a model and takes new work. */
+export function holdsModel(server: ServerView, model: string): boolean {
+  return !server.target.leaving && reportOf(server, model) !== undefined;
+}
+
 /** Tells whether a server reports that it is loading a model. */
 export function isLoading({ state }: ServerView, model: string): boolean {
   return state?.loading.includes(model) ?? false;
