--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { createDirectory, type FleetConfiguration, type ServerEntry } from '@bulrushspar/catalogue';
-import { every, type Clock } from '@bulrushspar/clock';
+import { every, startSlowStopwatch, type Clock } from '@bulrushspar/clock';
 import { messageOf } from '@bulrushspar/errors';
 import { createDemand, type EngineControl, type Outlook } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
@@ -17,16 +17,18 @@
   type Call,
   type SendCall,
   type Serve,
+  type ServerStates,
 } from '@bulrushspar/serving';
 import { createRetryBudget } from '@bulrushspar/shares';
 import type { Incarnation, ObjectStore, ObjectView } from '@bulrushspar/store';
+import { createFleet, type Fleet } from './fleet.js';
 import { createGossip } from './gossip.js';
-import { HOST_KIND, peersOf } from './group.js';
-import { createFleetLinks, type FleetLinks } from './links.js';
+import { HOST_KIND } from './group.js';
 import {
   MESSAGE,
   type AdapterMessage,
   type ChangesMessage,
+  type FleetSummary,
   type HostState,
   type OutlookMessage,
   type PullMessage,
@@ -36,7 +38,10 @@
 } from './messages.js';
 import { createOrderDuty, type OrderDuty } from './orders.js';
 import { createQuotas, type QuotaTolerance } from './quotas.js';
+import type { FleetLinks } from './links.js';
 import { createSource } from './source.js';
+import type { Topology } from './topology.js';
+import type { RunningRequests } from './totals.js';
 
 /** Where a host is and listens for the others. */
 export interface EntryHost {
@@ -44,6 +49,8 @@
   readonly failureDomain: string;
   readonly address: string;
   readonly port: number;
+  /** Processor that the host has, in cores; the strongest hosts carry what one must do for all. */
+  readonly cores: number;
 }
 
 /** How far the fleet's limits may be off, and how fast it must act. */
@@ -97,6 +104,33 @@
 const WANTS_MILLISECONDS = 100;
 /** Longest wait for an adapter: a load that is under way at its server, and the order. */
 const ADAPTER_MILLISECONDS = 2000;
+/** Time in which a hub gives a host its first view; after it the host reads the store itself. */
+const FIRST_VIEW_MILLISECONDS = 800;
+/** Hosts come and go rarely, so that their records are watched with longer waits. */
+const HOSTS_WATCH_SECONDS = 3;
+/** Servers write often: changes within this time come with one call to the store. */
+const GATHER_MILLISECONDS = 50;
+
+/** Requests of this host that run, by server and model. */
+function runningOf(servers: ServerStates): RunningRequests {
+  const byServer: Record<string, Record<string, number>> = {};
+  for (const { entry, outstanding, outstandingByModel } of servers.all()) {
+    if (outstanding > 0) {
+      const models = [...outstandingByModel].filter(([, count]) => count > 0);
+      byServer[entry.id] = models.length > 0 ? Object.fromEntries(models) : { '': outstanding };
+    }
+  }
+  return byServer;
+}
+
+/** Hosts that contend for a duty before this one, as far as it is linked with them. */
+function rankAmongLinked(topology: Topology, links: FleetLinks, self: string): number {
+  const own = topology.rankOf(self);
+  const better = links.all().filter(({ peer }) => topology.rankOf(peer.host) < own).length;
+  // A host that is not linked with all contends after the hubs, at a time of its own.
+  return topology.isHub() ? better : Math.max(better, own);
+}
+
 /** Starts an entry host; it serves as soon as it has a configuration. */
 export function startEntry<SomeCall extends Call>(
   options: EntryOptions<SomeCall>,
@@ -106,28 +140,28 @@
   const self: Incarnation = { host: host.name, incarnation: randomUUID() };
   const stopping = new AbortController();
   const releasing = new AbortController();
+  const sinceStart = startSlowStopwatch(clock);
   let configuration: FleetConfiguration | undefined;
-  let hosts = 1;
   let refusing = false;
 
-  const servers = createServerStates(clock);
+  const servers = createServerStates(clock, (server) => gossip.elsewhere(server));
   const demand = createDemand({ clock });
   const quotas = createQuotas({
     clock,
-    linkedPart: () => Math.min(1, (links.all().length + 1) / hosts),
+    linkedPart: () => gossip.heardPart(),
     firstStart: options.firstStart,
     tolerance: bounds.quota,
   });
   const suspects = createSuspects({
     clock,
-    onNews: (news) => links.broadcast(MESSAGE.SUSPECT, news),
+    onNews: (news) => fleet.broadcast(MESSAGE.SUSPECT, news),
   });
   const budget = createRetryBudget({
     clock,
     ratio: bounds.repeatsPerRequest,
     slack: bounds.repeatSlack,
     windowMilliseconds: bounds.repeatWindowMilliseconds,
-    hosts: () => hosts,
+    hosts: () => fleet.topology.size(),
   });
 
   const isLoaded = (model: string): boolean =>
@@ -145,16 +179,6 @@
     },
   });
 
-  const gossip = createGossip({
-    clock,
-    self: host.name,
-    quotas,
-    servers,
-    demand,
-    sources: () => sources,
-    duty: () => duty,
-  });
-
   const takeConfiguration = (view: ObjectView<unknown>): void => {
     const next = options.decodeConfiguration(view);
     if (!next || (configuration && next.version <= configuration.version)) return;
@@ -179,27 +203,30 @@
     clock,
     logger,
     watchersBefore: (kind: string) => gossip.watchersBefore(kind),
-    onChanges: (message: ChangesMessage) => links.broadcast(MESSAGE.CHANGES, message),
+    onChanges: (message: ChangesMessage) => fleet.broadcast(MESSAGE.CHANGES, message),
   };
+  /** A hub gives a host that has just started what it has already. */
+  const awaitsHub = (): boolean =>
+    !fleet.topology.isHub() && sinceStart() < FIRST_VIEW_MILLISECONDS;
   const configurations = createSource({
     ...sourceOptions,
     kind: kinds.configuration,
+    awaitsOthers: awaitsHub,
     onView: takeConfiguration,
   });
   const serverEntries = createSource({
     ...sourceOptions,
     kind: kinds.servers,
+    awaitsOthers: awaitsHub,
+    gatherMilliseconds: GATHER_MILLISECONDS,
     onView: takeServers,
     onRegained: directory.noteOutage,
   });
   const hostRecords = createSource({
     ...sourceOptions,
     kind: HOST_KIND,
-    onView: (view) => {
-      const peers = peersOf(view, host.name);
-      hosts = peers.length + 1;
-      links.connectTo(peers);
-    },
+    watchSeconds: HOSTS_WATCH_SECONDS,
+    onView: (view) => fleet.takeHosts(view),
   });
   const sources = [configurations, serverEntries, hostRecords];
 
@@ -213,17 +240,17 @@
     control: options.control,
     demand,
     configuration: () => configuration,
-    running: gossip.running,
+    running: (server) => gossip.running(server),
     handoverMilliseconds: bounds.handoverMilliseconds,
-    othersReachStore: gossip.othersReachStore,
-    rank: () => links.all().filter(({ peer }) => peer.host < host.name).length,
+    othersReachStore: () => gossip.othersReachStore(),
+    rank: () => rankAmongLinked(fleet.topology, fleet.links, host.name),
     onOutlook: (outlook, waiting) => {
       takeOutlook(outlook);
-      waiting.forEach((name) => links.to(name)?.send(MESSAGE.OUTLOOK, outlook));
+      waiting.forEach((name) => fleet.links.to(name)?.send(MESSAGE.OUTLOOK, outlook));
     },
     onUnloading: (server, model) => {
       servers.noteUnloading(server, model);
-      links.broadcast(MESSAGE.UNLOADING, { server, model } satisfies UnloadingMessage);
+      fleet.broadcast(MESSAGE.UNLOADING, { server, model } satisfies UnloadingMessage);
     },
   });
 
@@ -234,13 +261,13 @@
     toldWants = wants.length > 0;
     const leader = duty.leader();
     if (leader === host.name) duty.commander.setWants(host.name, wants);
-    else if (leader !== undefined) links.to(leader)?.send(MESSAGE.WANTS, wants);
+    else if (leader !== undefined) fleet.links.to(leader)?.send(MESSAGE.WANTS, wants);
   };
 
   const ensureAdapter = async (server: string, model: string, adapter: string) => {
     const leader = duty.leader();
     if (leader === host.name) return duty.commander.ensureAdapter(server, model, adapter);
-    const link = leader === undefined ? undefined : links.to(leader);
+    const link = leader === undefined ? undefined : fleet.links.to(leader);
     if (!link) return false;
     const body: AdapterMessage = { server, model, adapter };
     return link.request<boolean>(MESSAGE.ADAPTER, body, ADAPTER_MILLISECONDS).catch((error) => {
@@ -251,48 +278,77 @@
 
   const handlers: PeerHandlers = {
     [MESSAGE.STATE]: (body, from) => {
-      const link = links.to(from.host);
+      const link = fleet.links.to(from.host);
       if (link) gossip.hear(link, body as HostState);
     },
+    [MESSAGE.SUMMARY]: (body, from) => {
+      const link = fleet.links.to(from.host);
+      if (link) gossip.hearSummary(link, body as FleetSummary);
+    },
     [MESSAGE.WANTS]: (body, from) => duty.commander.setWants(from.host, body as WantsMessage),
     [MESSAGE.OUTLOOK]: (body) => takeOutlook(body as OutlookMessage),
     [MESSAGE.ADAPTER]: (body) => {
       const { server, model, adapter } = body as AdapterMessage;
       return duty.commander.ensureAdapter(server, model, adapter);
     },
-    [MESSAGE.UNLOADING]: (body) => {
+    [MESSAGE.UNLOADING]: (body, from) => {
       const { server, model } = body as UnloadingMessage;
       servers.noteUnloading(server, model);
+      fleet.passOn(MESSAGE.UNLOADING, body, from.host);
     },
     [MESSAGE.CHANGES]: (body, from) => {
       const message = body as ChangesMessage;
-      const link = links.to(from.host);
+      const link = fleet.links.to(from.host);
       const source = sources.find(({ kind }) => kind === message.kind);
-      if (link) source?.take(link, message);
+      if (!link || !source) return;
+      const isNews = message.changedAt > source.changedAt();
+      source.take(link, message);
+      if (isNews) fleet.passOn(MESSAGE.CHANGES, message, from.host);
     },
     [MESSAGE.PULL]: (body) => {
       const { kind } = body as PullMessage;
       return sources.find((source) => source.kind === kind)?.snapshot();
     },
-    [MESSAGE.SUSPECT]: (body) => suspects.hear(body as SuspectMessage),
+    [MESSAGE.SUSPECT]: (body, from) => {
+      suspects.hear(body as SuspectMessage);
+      fleet.passOn(MESSAGE.SUSPECT, body, from.host);
+    },
   };
 
-  const links: FleetLinks = createFleetLinks({
+  const fleet: Fleet = createFleet({
     self,
-    address: host.address,
-    port: host.port,
+    record: {
+      address: host.address,
+      port: host.port,
+      failureDomain: host.failureDomain,
+      cores: host.cores,
+      firstStart: options.firstStart,
+    },
     store,
     clock,
     logger,
     handlers,
     onLink: (link) => {
       suspects.news().forEach((news) => link.send(MESSAGE.SUSPECT, news));
-      link.send(MESSAGE.STATE, gossip.state());
+      gossip.greet(link);
     },
     onLost: (name) => {
       gossip.forget(name);
       duty.commander.forgetHost(name);
     },
+    leader: () => duty.leader(),
+    reliesOnThis: (name) => gossip.reliesOnThis(name),
+  });
+
+  const gossip = createGossip({
+    clock,
+    self: host.name,
+    topology: fleet.topology,
+    quotas,
+    demand,
+    ownRunning: () => runningOf(servers),
+    sources: () => sources,
+    duty: () => duty,
   });
 
   const serve = createServe<SomeCall>({
@@ -304,7 +360,7 @@
     admission,
     servers,
     waits,
-    demand: { ...demand, note: gossip.noteAsked },
+    demand: { ...demand, note: (model, credit) => gossip.noteAsked(model, credit) },
     budget,
     suspects,
     send: options.send,
@@ -315,7 +371,7 @@
   const running = [
     configurations.run(stopping.signal),
     serverEntries.run(stopping.signal),
-    links.open().then(() => hostRecords.run(stopping.signal)),
+    fleet.links.open().then(() => hostRecords.run(stopping.signal)),
   ];
   const ordering = duty.run(AbortSignal.any([stopping.signal, releasing.signal]));
   [...running, ordering].forEach((work) =>
@@ -324,7 +380,7 @@
     ),
   );
   const stopTelling = every(clock, STATE_MILLISECONDS, () => {
-    links.broadcast(MESSAGE.STATE, gossip.nextState());
+    gossip.tell(fleet.links.all());
   });
   const stopWants = every(clock, WANTS_MILLISECONDS, tellWants);
 
@@ -345,7 +401,8 @@
       stopWants();
       stopping.abort();
       await Promise.allSettled([...running, ordering]);
-      await links.close();
+      fleet.stop();
+      await fleet.links.close();
     },
   };
 }
--- a/packages/entry/src/group.ts
+++ b/packages/entry/src/group.ts
@@ -11,6 +11,7 @@
   type ObjectStore,
   type ObjectView,
 } from '@bulrushspar/store';
+import type { HostPlace } from './topology.js';
 
 /** Kind of the records by which the hosts find each other; named by host. */
 export const HOST_KIND = 'bulrushspar-hosts';
@@ -21,9 +22,21 @@
 export interface HostRecord {
   readonly address: string;
   readonly port: number;
+  readonly failureDomain: string;
+  /** Processor that the host has, in cores. */
+  readonly cores: number;
   readonly incarnation: string;
 }
 
+/** Where a host listens for links, and its place in the fleet. */
+export type ListedPeer = PeerAddress & HostPlace;
+
+/** What a host writes about itself. */
+export interface OwnRecord extends Omit<HostRecord, 'incarnation'> {
+  /** The fleet starts for the first time, so that no record of an earlier process is expected. */
+  readonly firstStart: boolean;
+}
+
 /** Options of {@link joinGroup} and {@link readSecret}. */
 export interface GroupOptions {
   readonly store: ObjectStore;
@@ -72,14 +85,15 @@
 export async function joinGroup(
   options: GroupOptions,
   self: Incarnation,
-  address: string,
-  port: number,
+  { firstStart, ...place }: OwnRecord,
 ): Promise<void> {
   const { store, clock } = options;
   const key = { kind: HOST_KIND, name: self.host };
-  const value: HostRecord = { address, port, incarnation: self.incarnation };
+  const value: HostRecord = { ...place, incarnation: self.incarnation };
+  let known = !firstStart;
   await insist(options, 'joining the group of hosts', async () => {
-    const found = await store.read<HostRecord>(key);
+    const found = known ? await store.read<HostRecord>(key) : undefined;
+    known = true;
     const settled = await settleWrite<HostRecord>({
       store,
       clock,
@@ -93,11 +107,11 @@
   });
 }
 
-/** Addresses of the other hosts. */
-export function peersOf(view: ObjectView<unknown>, self: string): readonly PeerAddress[] {
+/** The hosts that are on record, this one included. */
+export function hostsOf(view: ObjectView<unknown>): readonly ListedPeer[] {
   return [...view.values()].flatMap(({ name, value }) => {
-    const { address, port } = (value ?? {}) as Partial<HostRecord>;
-    if (name === self || typeof address !== 'string' || typeof port !== 'number') return [];
-    return [{ host: name, address, port }];
+    const { address, port, failureDomain = '', cores = 0 } = (value ?? {}) as Partial<HostRecord>;
+    if (typeof address !== 'string' || typeof port !== 'number') return [];
+    return [{ host: name, address, port, failureDomain, cores }];
   });
 }
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,11 +1,14 @@
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { SuspectNews } from '@bulrushspar/routing';
 import type { ObjectChange, StoredObject } from '@bulrushspar/store';
+import type { RunningRequests } from './totals.js';
 
 /** Messages between the hosts of a fleet. */
 export const MESSAGE = {
-  /** What a host has taken, runs and wants; sent to all. */
+  /** What a host has taken and runs; sent over all its links. */
   STATE: 'state',
+  /** The same summed over all hosts; sent by hubs to hosts that are not linked with all. */
+  SUMMARY: 'summary',
   /** What a host's requests wait for; sent to the giver of orders. */
   WANTS: 'wants',
   /** When wanted models will be ready; sent by the giver of orders. */
@@ -35,8 +38,7 @@
 export interface HostState {
   /** Quota taken since the start of the host, by workspace. */
   readonly taken: Readonly<Record<string, number>>;
-  /** Requests that run now, by server and model. */
-  readonly running: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  readonly running: RunningRequests;
   /** Credit asked for since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
   /** The host's lease to give orders, if it holds it or held it last. */
@@ -45,6 +47,42 @@
   readonly seen: Readonly<Record<string, number>>;
   /** Kinds that the host watches in the store, and whose watch was answered lately. */
   readonly watches: readonly string[];
+  /** How often the host needs summaries from the other end; absent where it needs none. */
+  readonly summaries?: SummaryRate;
+}
+
+/** How often a host needs the summaries of a hub. */
+export const SUMMARY_RATE = {
+  /** At each state: the host counts on this hub. */
+  OFTEN: 'often',
+  /** Now and then, so that this hub can take the place of the other one. */
+  SELDOM: 'seldom',
+} as const;
+
+/** One of {@link SUMMARY_RATE}. */
+export type SummaryRate = (typeof SUMMARY_RATE)[keyof typeof SUMMARY_RATE];
+
+/** Body of {@link MESSAGE.SUMMARY}; it leaves out what the receiver itself has told. */
+export interface FleetSummary {
+  /** Hosts that the hub hears, itself included. */
+  readonly hosts: number;
+  /** Quota taken since the hub's start, by workspace. */
+  readonly taken: Readonly<Record<string, number>>;
+  /** Requests that run now, by server. */
+  readonly running: Readonly<Record<string, number>>;
+  /** The newest lease to give orders, if any is known. */
+  readonly orders?: LeaseOfHost;
+  /** Version at which each followed kind last changed. */
+  readonly seen: Readonly<Record<string, number>>;
+  /** Hosts that watch the store, by kind. */
+  readonly watchers: Readonly<Record<string, readonly string[]>>;
+}
+
+/** A lease to give orders with its holder. */
+export interface LeaseOfHost extends OrderLease {
+  readonly host: string;
+  /** Milliseconds since the holder last said so. */
+  readonly age: number;
 }
 
 /** Body of {@link MESSAGE.UNLOADING}. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -10,15 +10,17 @@
 } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Incarnation, ObjectStore } from '@bulrushspar/store';
-import type { OrderLease } from './messages.js';
+import type { LeaseOfHost, OrderLease } from './messages.js';
 
 /** The duty of giving orders to the servers, which one host has at a time. */
 export interface OrderDuty {
   readonly commander: Commander;
   /** What this host tells the others about its lease. */
   describe(): OrderLease | undefined;
-  /** Takes what another host says about its lease. */
-  hear(host: string, lease: OrderLease | undefined): void;
+  /** Takes what a host says about its lease. @param age milliseconds since it said so */
+  hear(host: string, lease: OrderLease | undefined, age?: number): void;
+  /** The newest lease that this host knows of, its own included. */
+  newest(): LeaseOfHost | undefined;
   /** The host that gives the orders, this one included, as far as is known. */
   leader(): string | undefined;
   setServers(servers: ServerView): void;
@@ -58,11 +60,16 @@
 /** Time without word from the giver of orders after which others contend. */
 const SILENT_MILLISECONDS = 700;
 const RANK_MILLISECONDS = 200;
+/** Turns after which all hosts that are left contend together. */
+const MOST_TURNS = 10;
 const LOOK_MILLISECONDS = 100;
 
 interface Heard extends OrderLease {
   readonly host: string;
+  /** Since the host said so. */
   readonly since: Stopwatch;
+  /** Since this host first heard that the lease is over. */
+  readonly sinceOver?: Stopwatch;
 }
 
 /** Creates the duty of one host; it gives no order until it runs and holds the lease. */
@@ -82,10 +89,15 @@
     return found;
   };
 
+  const sinceStart = startSlowStopwatch(clock);
+
+  /** Hosts with a better rank get time to contend first. */
   const othersLead = (): boolean => {
+    const turn = Math.min(rank(), MOST_TURNS) * RANK_MILLISECONDS;
     const found = newest();
-    if (!found || found.over) return false;
-    return found.since() < SILENT_MILLISECONDS + rank() * RANK_MILLISECONDS;
+    if (!found) return sinceStart() < turn;
+    if (found.sinceOver) return found.sinceOver() < turn;
+    return found.since() < SILENT_MILLISECONDS + turn;
   };
 
   const lease = createLease({
@@ -154,8 +166,30 @@
   return {
     commander,
     describe,
-    hear: (host, state) => {
-      if (state) heard.set(host, { ...state, host, since: startSlowStopwatch(clock) });
+    hear: (host, state, age = 0) => {
+      if (!state || host === self.host) return;
+      const sinceHeard = startSlowStopwatch(clock);
+      const known = heard.get(host);
+      // Several hubs tell the same: the youngest news counts.
+      if (known && known.fencing >= state.fencing && known.since() < age) return;
+      const { fencing, over } = state;
+      const overBefore = known?.fencing === fencing ? known.sinceOver : undefined;
+      heard.set(host, {
+        host,
+        fencing,
+        over,
+        sinceOrder: state.sinceOrder,
+        since: () => age + sinceHeard(),
+        sinceOver: over ? (overBefore ?? sinceHeard) : undefined,
+      });
+    },
+    newest: () => {
+      const own = describe();
+      const found = newest();
+      if (own && own.fencing >= (found?.fencing ?? 0)) return { ...own, host: self.host, age: 0 };
+      if (!found) return undefined;
+      const { host, fencing, over, since } = found;
+      return { host, fencing, over, sinceOrder: found.sinceOrder, age: Math.round(since()) };
     },
     leader: () => {
       if (lease.held() !== undefined) return self.host;
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -43,14 +43,19 @@
   readonly onChanges: (message: ChangesMessage) => void;
   /** Called when the store answers again after it had failed. */
   readonly onRegained?: () => void;
+  /** Tells whether other hosts will soon give this one its first view. */
+  readonly awaitsOthers?: () => boolean;
+  /** Longest wait of one watch, in seconds; a silent store shows one second later. */
+  readonly watchSeconds?: number;
+  /** Pause after a watch that brought changes, in which further ones gather, in milliseconds. */
+  readonly gatherMilliseconds?: number;
 }
 
 /** Hosts that watch each kind: one may fail while another takes its place. */
 const WATCHERS = 2;
-/** Wait of one watch; a silent store shows after little more. */
-const WATCH_SECONDS = 1;
-/** Time without an answer after which a watch does not count: a watch and its margin. */
-const SILENT_MILLISECONDS = 2200;
+/** Time beyond a watch's wait after which it does not count: the store's longest answer. */
+const SILENT_MARGIN_MILLISECONDS = 1200;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Time that changes may take from host to host. */
 const BEHIND_MILLISECONDS = 250;
 const PULL_MILLISECONDS = 1000;
@@ -65,7 +70,9 @@
 /** Creates the source of one kind; it holds nothing until it runs. */
 export function createSource(options: SourceOptions): Source {
   const { kind, store, clock, logger, watchersBefore, onView, onChanges } = options;
-  const { onRegained = () => {} } = options;
+  const { onRegained = () => {}, awaitsOthers = () => false } = options;
+  const { watchSeconds = 1, gatherMilliseconds = 0 } = options;
+  const silentMilliseconds = watchSeconds * MILLISECONDS_PER_SECOND + SILENT_MARGIN_MILLISECONDS;
   let view = new Map<string, StoredObject>();
   let changedAt = 0;
   let failing = false;
@@ -73,8 +80,9 @@
   let sinceAnswer: Stopwatch | undefined;
   let sinceRegained: Stopwatch | undefined;
 
-  const watches = (): boolean => sinceAnswer !== undefined && sinceAnswer() < SILENT_MILLISECONDS;
-  const mustWatch = (): boolean => changedAt === 0 || watchersBefore(kind) < WATCHERS;
+  const watches = (): boolean => sinceAnswer !== undefined && sinceAnswer() < silentMilliseconds;
+  const mustWatch = (): boolean =>
+    changedAt === 0 ? !awaitsOthers() : watchersBefore(kind) < WATCHERS;
 
   const replace = (next: ObjectView<unknown>, version: number): void => {
     if (version < changedAt) return;
@@ -140,7 +148,8 @@
       clock,
       kind,
       signal,
-      watchSeconds: WATCH_SECONDS,
+      watchSeconds,
+      gatherMilliseconds,
       longestPauseMilliseconds: LONGEST_PAUSE_MILLISECONDS,
       onAnswer,
       onFailure,
@@ -175,7 +184,7 @@
     },
     hear: (link, version) => {
       if (version <= changedAt) return;
-      clock.after(BEHIND_MILLISECONDS, () => {
+      clock.after(changedAt === 0 ? 0 : BEHIND_MILLISECONDS, () => {
         if (version > changedAt) pull(link).catch(() => {});
       });
     },
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -62,6 +62,10 @@
 
 /** Time between plans without news. */
 const PLAN_MILLISECONDS = 100;
+/** Time between plans with news: many hosts tell what they wait for. */
+const LEAST_PLAN_MILLISECONDS = 20;
+/** Time between tellings of when models will be ready; the plans between them differ little. */
+const OUTLOOK_MILLISECONDS = 50;
 /** Requests a second from which on a model is loaded again before anybody waits for it. */
 const BUSY_RATE = 1;
 /** Time until somebody asks for a busy model that was lost. */
@@ -84,6 +88,8 @@
   const change = (server: string): PlannedLoad | undefined => starting.get(server);
   let coldBegun: number[] = [];
   let planned = false;
+  let plannedAt = -Infinity;
+  let toldAt = -Infinity;
   let lastToken: number | undefined;
 
   const { issue, learn } = createIssuer(options);
@@ -251,6 +257,7 @@
 
   const plan = (): void => {
     planned = false;
+    plannedAt = clock.monotonic();
     const token = fencing();
     if (token !== lastToken) books.forEach(reopenBook);
     lastToken = token;
@@ -262,14 +269,17 @@
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
     const outlook = engines.flatMap((service) => planService(service, wants, wait));
-    if (outlook.length > 0) onOutlook(outlook, [...wantsByHost.keys()]);
+    if (outlook.length === 0 || clock.monotonic() - toldAt < OUTLOOK_MILLISECONDS) return;
+    toldAt = clock.monotonic();
+    onOutlook(outlook, [...wantsByHost.keys()]);
   };
 
-  /** Plans once for all news of this turn of the event loop. */
+  /** Plans once for all news that come within a short time. */
   const planSoon = (): void => {
     if (planned) return;
     planned = true;
-    clock.after(0, plan);
+    const since = clock.monotonic() - plannedAt;
+    clock.after(Math.max(0, LEAST_PLAN_MILLISECONDS - since), plan);
   };
 
   const ensureAdapter = async (id: string, model: string, adapter: string): Promise<boolean> => {
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,6 +4,7 @@
 export { chooseNeighbours, FULL_MESH_HOSTS } from './neighbours.js';
 export {
   createPeerNetwork,
+  type LinkChoice,
   type PeerAddress,
   type PeerNetwork,
   type PeerNetworkOptions,
--- a/packages/peer/src/network.ts
+++ b/packages/peer/src/network.ts
@@ -12,11 +12,19 @@
   readonly port: number;
 }
 
+/** Which links a node opens and keeps. */
+export interface LinkChoice {
+  /** This node dials the host; by default the one whose host's name sorts first dials. */
+  readonly dials?: (host: string) => boolean;
+  /** Keeps a link that the other end has opened; by default those to the wanted nodes. */
+  readonly keeps?: (host: string) => boolean;
+}
+
 /** Links to other nodes. */
 export interface PeerNetwork {
   listen(address: string, port: number): Promise<void>;
-  /** Keeps links to these nodes, and drops those to others. */
-  connectTo(peers: readonly PeerAddress[]): void;
+  /** Keeps links to these nodes, and drops those to others unless they are kept. */
+  connectTo(peers: readonly PeerAddress[], choice?: LinkChoice): void;
   links(): readonly Link[];
   link(host: string): Link | undefined;
   readonly traffic: Readonly<Traffic>;
@@ -46,7 +54,7 @@
 const urlOf = ({ address, port }: PeerAddress): string =>
   address.includes(':') ? `ws://[${address}]:${port}` : `ws://${address}:${port}`;
 
-/** Creates the network of one node. Of two nodes, the one whose host's name sorts first dials. */
+/** Creates the network of one node. */
 export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
   const { self, secrets, clock, handlers } = options;
   const { onLink = () => {}, onLost = () => {}, onRejected = () => {} } = options;
@@ -106,7 +114,7 @@
   const keyOf = (peer: PeerAddress): string => `${peer.host} ${urlOf(peer)}`;
 
   const startDialling = (peer: PeerAddress): void => {
-    if (peer.host <= self.host || dialled.has(keyOf(peer))) return;
+    if (dialled.has(keyOf(peer))) return;
     const controller = new AbortController();
     dialled.set(keyOf(peer), controller);
     keepDialling(peer, controller.signal).catch(() => {});
@@ -128,18 +136,20 @@
           runConnection(connection, ROLE.LISTENER, remoteAddress).catch(() => socket.terminate());
         });
       }),
-    connectTo: (peers) => {
-      const wanted = new Set(peers.map(keyOf));
+    connectTo: (peers, choice = {}) => {
+      const hosts = new Set(peers.map(({ host }) => host));
+      const { dials = (host) => host > self.host, keeps = (host) => hosts.has(host) } = choice;
+      const toDial = peers.filter(({ host }) => host !== self.host && dials(host));
+      const wanted = new Set(toDial.map(keyOf));
       [...dialled].forEach(([key, controller]) => {
         if (wanted.has(key)) return;
         controller.abort();
         dialled.delete(key);
       });
-      const hosts = new Set(peers.map(({ host }) => host));
       links.forEach((link) => {
-        if (!hosts.has(link.peer.host)) link.close();
+        if (!keeps(link.peer.host)) link.close();
       });
-      peers.forEach(startDialling);
+      toDial.forEach(startDialling);
     },
     links: () => [...links.values()],
     link: (host) => links.get(host),
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -10,7 +10,7 @@
   /** The same by model. */
   readonly outstandingByModel: Map<string, number>;
   /** Requests of the other hosts that run there, as they last told. */
-  outstandingElsewhere: number;
+  readonly outstandingElsewhere: number;
   /** Part of the last requests that failed for the server's fault, from 0 to 1. */
   failing: number;
   /** Not chosen before this moment by the monotonic clock, unless there is no other. */
@@ -52,8 +52,14 @@
 /** Time after which a model that is still in the server's entry was not unloaded. */
 const UNLOADING_MILLISECONDS = 2500;
 
-/** Creates the states; there are no servers at first. */
-export function createServerStates(clock: Clock): ServerStates {
+/**
+ * Creates the states; there are no servers at first.
+ * @param elsewhere requests of the other hosts that run on a server
+ */
+export function createServerStates(
+  clock: Clock,
+  elsewhere: (server: string) => number = () => 0,
+): ServerStates {
   const states = new Map<string, ServerState>();
   let byService = new Map<string, ServerState[]>();
 
@@ -61,7 +67,9 @@
     entry,
     outstanding: 0,
     outstandingByModel: new Map(),
-    outstandingElsewhere: 0,
+    get outstandingElsewhere() {
+      return elsewhere(entry.id);
+    },
     failing: 0,
     avoidUntil: 0,
     adapters: new Map(),
--- a/packages/store/src/follow.ts
+++ b/packages/store/src/follow.ts
@@ -28,6 +28,8 @@
   readonly onChanges?: (changes: readonly ObjectChange<Value>[], version: Version) => void;
   /** Longest wait of one watch call, in seconds. */
   readonly watchSeconds?: number;
+  /** Pause after a watch that brought changes, in which further ones gather, in milliseconds. */
+  readonly gatherMilliseconds?: number;
   /** Pause after a failed call, in milliseconds; it doubles with each failure in a row. */
   readonly pauseMilliseconds?: number;
   readonly longestPauseMilliseconds?: number;
@@ -50,7 +52,7 @@
   options: FollowOptions<Value>,
   cursor: Cursor<Value>,
 ): Promise<Cursor<Value> | undefined> {
-  const { store, kind, watchSeconds = 20, signal } = options;
+  const { store, clock, kind, watchSeconds = 20, gatherMilliseconds = 0, signal } = options;
   const answer = await store.watch<Value>(kind, cursor.version, watchSeconds, signal);
   options.onAnswer?.();
   if (answer.expired) return undefined;
@@ -59,7 +61,10 @@
     else cursor.view.set(name, { name, version, value });
   });
   if (answer.changes.length > 0) options.onChanges?.(answer.changes, answer.version);
-  if (answer.changes.length > 0) options.onView(cursor.view, { changedAt: answer.version });
+  if (answer.changes.length > 0) {
+    options.onView(cursor.view, { changedAt: answer.version });
+    if (gatherMilliseconds > 0) await clock.delay(gatherMilliseconds, signal);
+  }
   return { version: answer.version, view: cursor.view };
 }
 
