--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -360,7 +360,11 @@
     admission,
     servers,
     waits,
-    demand: { ...demand, note: (model, credit) => gossip.noteAsked(model, credit) },
+    demand: {
+      ...demand,
+      note: (model, credit) => gossip.noteAsked(model, credit),
+      noteDelays: (model, answers, delays) => gossip.noteDelays(model, answers, delays),
+    },
     budget,
     suspects,
     send: options.send,
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -142,11 +142,14 @@
       connect();
     },
     broadcast: links.broadcast,
-    passOn: (type, body, from) =>
+    passOn: (type, body, from) => {
+      // What a hub sends reaches all hosts directly.
+      if (topology.hubs().includes(from)) return;
       links
         .all()
         .filter(({ peer }) => peer.host !== from && reliesOnThis(peer.host))
-        .forEach((link) => link.send(type, body)),
+        .forEach((link) => link.send(type, body));
+    },
     stop,
   };
 }
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -31,7 +31,9 @@
   /** The host gives no more orders under this fencing number. */
   readonly over: boolean;
   /** Milliseconds since the host's last order; absent where it gave none. */
-  readonly sinceOrder?: number;
+  readonly sinceOrder?: number | undefined;
+  /** The same by server, once the duty is over; a server that is left out had none lately. */
+  readonly sinceOrderAt?: Readonly<Record<string, number>> | undefined;
 }
 
 /** Body of {@link MESSAGE.STATE}. */
@@ -41,6 +43,8 @@
   readonly running: RunningRequests;
   /** Credit asked for since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
+  /** First bytes of answers since the last state, by model. */
+  readonly delays: Readonly<Record<string, AnswerDelays>>;
   /** The host's lease to give orders, if it holds it or held it last. */
   readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
@@ -51,6 +55,9 @@
   readonly summaries?: SummaryRate;
 }
 
+/** How many answers began, and what that took as parts of their objectives, together. */
+export type AnswerDelays = readonly [answers: number, delays: number];
+
 /** How often a host needs the summaries of a hub. */
 export const SUMMARY_RATE = {
   /** At each state: the host counts on this hub. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -80,6 +80,7 @@
   const heard = new Map<string, Heard>();
   let told: OrderLease | undefined;
   let sinceOrder: Stopwatch | undefined;
+  const sinceOrderAt = new Map<string, Stopwatch>();
 
   const newest = (): Heard | undefined => {
     let found: Heard | undefined;
@@ -112,10 +113,11 @@
       const found = newest();
       return found !== undefined && found.over && found.fencing === fencing;
     },
-    sinceFormerAct: (host, fencing) => {
+    sinceFormerAct: (host, fencing, server) => {
       const found = heard.get(host);
       if (!found?.over || found.fencing !== fencing) return undefined;
-      return found.sinceOrder === undefined ? Infinity : found.sinceOrder + found.since();
+      const since = server === undefined ? found.sinceOrder : found.sinceOrderAt?.[server];
+      return since === undefined ? Infinity : since + found.since();
     },
     onChange: (held) => {
       logger.info(held ? 'lease for orders taken' : 'lease for orders lost', {
@@ -129,6 +131,7 @@
     report: options.control.report,
     order: (server, order) => {
       sinceOrder = startSlowStopwatch(clock);
+      sinceOrderAt.set(server.id, sinceOrder);
       return options.control.order(server, order);
     },
   };
@@ -142,11 +145,23 @@
     lease.abandon();
   });
 
+  /** Servers that have had an order so lately that the next giver must wait with its own. */
+  const recentOrders = (): Record<string, number> => {
+    const recent: Record<string, number> = {};
+    sinceOrderAt.forEach((since, server) => {
+      if (since() < handoverMilliseconds) recent[server] = Math.round(since());
+      else sinceOrderAt.delete(server);
+    });
+    return recent;
+  };
+
   const describe = (): OrderLease | undefined => {
     const fencing = lease.held();
     if (fencing !== undefined) told = { fencing, over: false };
     else if (told) told = { ...told, over: true };
-    return told && { ...told, ...(sinceOrder ? { sinceOrder: Math.round(sinceOrder()) } : {}) };
+    if (!told || !sinceOrder) return told;
+    const since = { ...told, sinceOrder: Math.round(sinceOrder()) };
+    return told.over ? { ...since, sinceOrderAt: recentOrders() } : since;
   };
 
   const commander = createCommander({
@@ -154,8 +169,9 @@
     control,
     logger,
     holder: self.host,
+    term: lease.held,
     fencing: lease.acts,
-    ordersIn: () => (lease.held() === undefined ? undefined : lease.actsIn()),
+    ordersIn: lease.actsIn,
     profile: (service) => configuration()?.services.get(service)?.engine,
     demand,
     running,
@@ -179,6 +195,7 @@
         fencing,
         over,
         sinceOrder: state.sinceOrder,
+        sinceOrderAt: state.sinceOrderAt,
         since: () => age + sinceHeard(),
         sinceOver: over ? (overBefore ?? sinceHeard) : undefined,
       });
@@ -189,7 +206,9 @@
       if (own && own.fencing >= (found?.fencing ?? 0)) return { ...own, host: self.host, age: 0 };
       if (!found) return undefined;
       const { host, fencing, over, since } = found;
-      return { host, fencing, over, sinceOrder: found.sinceOrder, age: Math.round(since()) };
+      const { sinceOrder: order, sinceOrderAt: orders } = found;
+      const age = Math.round(since());
+      return { host, fencing, over, sinceOrder: order, sinceOrderAt: orders, age };
     },
     leader: () => {
       if (lease.held() !== undefined) return self.host;
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -58,6 +58,8 @@
 const MILLISECONDS_PER_SECOND = 1000;
 /** Time that changes may take from host to host. */
 const BEHIND_MILLISECONDS = 250;
+/** Time after which a second host that watches tells of changes that the first has not told of. */
+const SECOND_MILLISECONDS = 100;
 const PULL_MILLISECONDS = 1000;
 const LONGEST_PAUSE_MILLISECONDS = 800;
 /** Time between looks at whether this host must watch. */
@@ -77,6 +79,8 @@
   let changedAt = 0;
   let failing = false;
   let pulling = false;
+  /** Version up to which another host has told of changes. */
+  let toldVersion = 0;
   let sinceAnswer: Stopwatch | undefined;
   let sinceRegained: Stopwatch | undefined;
 
@@ -142,6 +146,16 @@
     noteRegained();
   };
 
+  /** Tells the others of changes; a host that watches before this one usually does so first. */
+  const tell = (message: ChangesMessage): void => {
+    if (watchersBefore(kind) === 0) onChanges(message);
+    else {
+      clock.after(SECOND_MILLISECONDS, () => {
+        if (toldVersion < message.changedAt) onChanges(message);
+      });
+    }
+  };
+
   const watchStore = (signal: AbortSignal): Promise<void> =>
     followKind<unknown>({
       store,
@@ -154,7 +168,7 @@
       onAnswer,
       onFailure,
       onChanges: (changes, version) => {
-        if (version > changedAt) onChanges({ kind, since: changedAt, changedAt: version, changes });
+        if (version > changedAt) tell({ kind, since: changedAt, changedAt: version, changes });
       },
       onView: (next, version) => replace(next, version.changedAt),
     });
@@ -178,6 +192,7 @@
     changedAt: () => changedAt,
     watches,
     take: (link, message) => {
+      toldVersion = Math.max(toldVersion, message.changedAt);
       if (message.changedAt <= changedAt) return;
       if (message.since > changedAt) pull(link).catch(() => {});
       else apply(message.changes, message.changedAt);
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -33,10 +33,11 @@
   /**
    * Fencing number if the duty is held and the handover from another host is over. To be asked
    * instead of held where the doers must not follow each other too closely.
+   * @param object on which the duty is done, where each has a handover of its own
    */
-  acts(): number | undefined;
+  acts(object?: string): number | undefined;
   /** Milliseconds until the duty that is held may be acted on; 0 where it may be now. */
-  actsIn(): number;
+  actsIn(object?: string): number;
   /** Host that had the duty before this one; undefined where there was none. */
   former(): string | undefined;
   /** Milliseconds since the last renewal that the store has confirmed; infinite without the duty. */
@@ -65,8 +66,12 @@
   readonly termMilliseconds?: number;
   /** Pause between the last act of one host and the first of another, in milliseconds. */
   readonly handoverMilliseconds?: number;
-  /** Milliseconds since the last act of the former host, where it has told. */
-  readonly sinceFormerAct?: (former: string, fencing: number) => number | undefined;
+  /** Milliseconds since the last act of the former host, on an object or any, where it has told. */
+  readonly sinceFormerAct?: (
+    former: string,
+    fencing: number,
+    object: string | undefined,
+  ) => number | undefined;
 }
 
 /** Kind of the lease records; named by duty. */
@@ -102,18 +107,20 @@
   let formerFencing = 0;
   let abandoned: number | undefined;
   let sinceTaken: Stopwatch | undefined;
+  /** Milliseconds for which the former term was certainly over when this one was taken. */
+  let endedBefore = 0;
 
   const held = (): number | undefined =>
     renewed && renewed.since() < termMilliseconds ? renewed.fencing : undefined;
 
   /** Another host may have acted so lately that this one must wait. */
-  const actsIn = (): number => {
+  const actsIn = (object?: string): number => {
     if (formerHost === undefined || formerHost === self.host || !sinceTaken) return 0;
-    const since = sinceFormerAct(formerHost, formerFencing) ?? sinceTaken();
-    return Math.max(0, handoverMilliseconds - Math.max(since, sinceTaken()));
+    const formerAct = sinceFormerAct(formerHost, formerFencing, object) ?? 0;
+    return Math.max(0, handoverMilliseconds - Math.max(formerAct, sinceTaken() + endedBefore));
   };
 
-  const inHandover = (): boolean => actsIn() > 0;
+  const inHandover = (object?: string): boolean => actsIn(object) > 0;
 
   const tell = (): void => {
     const now = held() !== undefined;
@@ -177,6 +184,7 @@
     formerHost = (ownHost ? value.former : undefined) ?? holder?.host ?? value.former;
     formerFencing = fencing;
     sinceTaken = startSlowStopwatch(clock);
+    endedBefore = isOver ? 0 : sighting!.since() - termMilliseconds;
     await write(version, { holder: self, fencing: fencing + 1, former: formerHost });
   };
 
@@ -189,7 +197,7 @@
 
   return {
     held,
-    acts: () => (inHandover() ? undefined : held()),
+    acts: (object) => (inHandover(object) ? undefined : held()),
     actsIn,
     former: () => formerHost,
     sinceRenewed: () => renewed?.since() ?? Number.POSITIVE_INFINITY,
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -44,12 +44,12 @@
   readonly control: EngineControl;
   readonly logger: Logger;
   readonly holder: string;
-  readonly fencing: () => number | undefined;
-  /**
-   * Milliseconds until this host may give orders: 0 while it may, more while it takes the duty
-   * over, undefined while another host has it.
-   */
-  readonly ordersIn: () => number | undefined;
+  /** Fencing number while this host has the duty, also while it takes it over. */
+  readonly term: () => number | undefined;
+  /** Fencing number if this host may give a server an order at this very moment. */
+  readonly fencing: (server: string) => number | undefined;
+  /** Milliseconds until this host may give a server orders, while it takes the duty over. */
+  readonly ordersIn: (server: string) => number;
   readonly profile: (service: string) => EngineProfile | undefined;
   readonly demand: Demand;
   /** Requests of all hosts that run on a server, by model. */
@@ -72,6 +72,8 @@
 const SOON_MILLISECONDS = 500;
 /** Time before the first orders in which the servers are asked what they hold. */
 const LEARN_MILLISECONDS = 300;
+/** Time in which a new copy shows what it relieves. */
+const RELIEF_MILLISECONDS = 2000;
 const WINDOW_MILLISECONDS = 5000;
 /** Loads that the weight store serves at full speed. */
 const COLD_LOADS_AT_ONCE = 4;
@@ -79,7 +81,7 @@
 
 /** Creates the commander of one host; it gives no order while it has no fencing number. */
 export function createCommander(options: CommanderOptions): Commander {
-  const { clock, control, logger, fencing, ordersIn, profile, demand, running } = options;
+  const { clock, control, logger, term, fencing, ordersIn, profile, demand, running } = options;
   const { onOutlook = () => {}, onUnloading = () => {} } = options;
   const books = new Map<string, ServerBook>();
   const wantsByHost = new Map<string, { readonly at: number; readonly wants: readonly Want[] }>();
@@ -90,7 +92,7 @@
   let planned = false;
   let plannedAt = -Infinity;
   let toldAt = -Infinity;
-  let lastToken: number | undefined;
+  let lastTerm: number | undefined;
 
   const { issue, learn } = createIssuer(options);
   const changer = createChanger({
@@ -99,7 +101,7 @@
     logger,
     issue,
     profile,
-    mayOrder: () => fencing() !== undefined,
+    mayOrder: () => term() !== undefined,
     onUnloading,
     onDone: () => planSoon(),
   });
@@ -181,11 +183,17 @@
         running: running(entry.id),
         models: [...models.keys()],
       })),
-      (model) =>
-        usable.some(
-          ({ underWay, entry }) =>
-            underWay?.order.model === model || starting.get(entry.id)?.model === model,
-        ),
+      {
+        isLoading: (model) =>
+          usable.some(
+            ({ underWay, entry, loadedAt }) =>
+              underWay?.order.model === model ||
+              starting.get(entry.id)?.model === model ||
+              clock.monotonic() - (loadedAt.get(model) ?? -Infinity) < RELIEF_MILLISECONDS,
+          ),
+        delayOf: (model) => (demand.creditPerSecond(model) < BUSY_RATE ? 0 : demand.delayOf(model)),
+        rateOf: demand.creditPerSecond,
+      },
     );
 
   /** Busy models that nobody waits for: they are wanted as soon as their last server leaves. */
@@ -198,11 +206,7 @@
     });
   };
 
-  const planService = (
-    service: string,
-    wants: readonly Want[],
-    ordersInMilliseconds: number,
-  ): Outlook[] => {
+  const planService = (service: string, wants: readonly Want[]): Outlook[] => {
     const engine = profile(service)!;
     const usable = [...books.values()].filter(
       ({ entry }) => entry.service === service && !entry.leaving,
@@ -232,9 +236,7 @@
     );
     const servers = usable.map((book) => {
       const view = viewForPlan(book, { clock, profile: engine, running, change });
-      const least = starting.has(view.id)
-        ? Math.max(1, ordersInMilliseconds)
-        : ordersInMilliseconds;
+      const least = Math.max(starting.has(view.id) ? 1 : 0, ordersIn(view.id));
       return { ...view, busyMilliseconds: Math.max(least, view.busyMilliseconds) };
     });
     const loads = planLoads({
@@ -243,6 +245,7 @@
       wants: missing,
       creditPerSecond: demand.creditPerSecond,
       idleMilliseconds: demand.idleMilliseconds,
+      delayOf: demand.delayOf,
       replicas: replicaNeeds(usable, engine),
       ...coldLoads(engine),
     });
@@ -258,17 +261,18 @@
   const plan = (): void => {
     planned = false;
     plannedAt = clock.monotonic();
-    const token = fencing();
-    if (token !== lastToken) books.forEach(reopenBook);
-    lastToken = token;
-    const wait = ordersIn();
-    if (wait === undefined) return;
-    books.forEach((book) => checkAgainstEntry(book, clock));
-    if (wait < LEARN_MILLISECONDS) books.forEach(learn);
+    const held = term();
+    if (held !== lastTerm) books.forEach(reopenBook);
+    lastTerm = held;
+    if (held === undefined) return;
+    books.forEach((book) => {
+      checkAgainstEntry(book, clock);
+      if (ordersIn(book.entry.id) < LEARN_MILLISECONDS) learn(book);
+    });
     const wants = mergeWants();
     const services = new Set([...books.values()].map(({ entry }) => entry.service));
     const engines = [...services].filter((service) => profile(service) !== undefined);
-    const outlook = engines.flatMap((service) => planService(service, wants, wait));
+    const outlook = engines.flatMap((service) => planService(service, wants));
     if (outlook.length === 0 || clock.monotonic() - toldAt < OUTLOOK_MILLISECONDS) return;
     toldAt = clock.monotonic();
     onOutlook(outlook, [...wantsByHost.keys()]);
@@ -285,7 +289,7 @@
   const ensureAdapter = async (id: string, model: string, adapter: string): Promise<boolean> => {
     const book = books.get(id);
     const engine = book && engineOf(book);
-    if (!book || !engine || fencing() === undefined) return false;
+    if (!book || !engine || fencing(id) === undefined) return false;
     return adapters.ensure(book, engine, model, adapter);
   };
 
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -18,8 +18,8 @@
   readonly logger: Logger;
   /** Names this host to the servers. */
   readonly holder: string;
-  /** Fencing number if this host gives the orders at this very moment. */
-  readonly fencing: () => number | undefined;
+  /** Fencing number if this host may give a server an order at this very moment. */
+  readonly fencing: (server: string) => number | undefined;
   readonly profile: (service: string) => EngineProfile | undefined;
 }
 
@@ -113,7 +113,7 @@
 
   const send = async (book: ServerBook, request: OrderRequest): Promise<OrderOutcome> => {
     if (book.sequence === undefined) await readReport(book);
-    const token = fencing();
+    const token = fencing(book.entry.id);
     if (token === undefined || book.sequence === undefined) return ORDER_OUTCOME.REJECTED;
     const engine = profile(book.entry.service);
     const loads = request.operation === OPERATION.LOAD;
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -47,11 +47,12 @@
   readonly profile: EngineProfile;
   readonly servers: readonly PlannedServer[];
   readonly wants: readonly Want[];
-  /** Placed after all wants. */
   readonly replicas?: readonly ReplicaNeed[];
   /** Credit lost each second while a model is on no server. */
   readonly creditPerSecond: (model: string) => number;
   readonly idleMilliseconds: (model: string) => number;
+  /** Mean time until answers of a model begin, as a part of their objective. */
+  readonly delayOf?: (model: string) => number;
   /** Loads out of the weight store that may begin now. */
   readonly coldLoads: number;
   /** Milliseconds until another one may begin once these are used up. */
@@ -88,6 +89,15 @@
  * read between the tokens of the others long before the slots are taken.
  */
 const CROWDED_PART = 1 / 4;
+/** Part of the objective that first bytes take on average where a copy may go again. */
+const RELIEVED_PART = 0.3;
+/** Time until another copy must be there, in milliseconds; sorts it among the wants. */
+const REPLICA_MILLISECONDS = 1000;
+/**
+ * Requests a second from which on a model is on two servers: loaded anew after the end of its only
+ * one, out of the weight store, it would keep dozens of requests waiting.
+ */
+const TWO_COPIES_RATE = 2;
 /** Delay that a request which is not served counts as, in milliseconds. */
 const MISSED_MILLISECONDS = 6000;
 /** Delay that another copy spares a request which it takes over, in milliseconds. */
@@ -133,6 +143,11 @@
   return Math.max(2, slots * CROWDED_PART);
 }
 
+/** Copies that a model keeps, by the requests for it each second. */
+export function leastCopies(rate: number): number {
+  return rate < TWO_COPIES_RATE ? 1 : 2;
+}
+
 function megabytesOf(profile: EngineProfile, { name, adapters }: PlannedModel): number {
   const model = profile.models.get(name);
   if (!model) return profile.weightsMegabytes;
@@ -145,8 +160,10 @@
   return { time: model.coldMilliseconds, cold: true };
 }
 
+type Urgency = Pick<Want, 'count' | 'objectiveMilliseconds'>;
+
 /** Requests that can still be served in time go first; among them the most pressing. */
-function compareWants(a: Want, b: Want): number {
+function compareWants(a: Urgency, b: Urgency): number {
   const late = Number(a.objectiveMilliseconds < 0) - Number(b.objectiveMilliseconds < 0);
   if (late !== 0) return late;
   return a.objectiveMilliseconds / a.count - b.objectiveMilliseconds / b.count;
@@ -158,7 +175,7 @@
  */
 export function planLoads(input: PlanInput): readonly PlannedLoad[] {
   const { profile, servers, wants, replicas = [], creditPerSecond, idleMilliseconds } = input;
-  const { coldWaitMilliseconds = Infinity, coldLoadsAtOnce = 1 } = input;
+  const { coldWaitMilliseconds = Infinity, coldLoadsAtOnce = 1, delayOf = () => 0 } = input;
   const occupancy = new Map<string, Occupancy>(
     servers.map((server) => [
       server.id,
@@ -182,7 +199,9 @@
     const recency = Math.max(0, 1 - idleMilliseconds(name) / RECENT_MILLISECONDS) * RECENT_CREDIT;
     const count = copies.get(name) ?? 1;
     const left = (runningOf.get(name) ?? 0) / Math.max(1, count - 1);
-    const spare = count > 1 && left < crowded ? SPARE_PART : 1;
+    const relieves = left >= crowded || delayOf(name) > RELIEVED_PART;
+    const needed = relieves || count <= leastCopies(creditPerSecond(name));
+    const spare = count > 1 && !needed ? SPARE_PART : 1;
     const rate = creditPerSecond(name) / count;
     return ((wanted.has(name) ? rate * 2 + 1 : rate) + recency) * spare;
   };
@@ -291,7 +310,7 @@
     return best ? [reserve(best, model)] : [];
   };
 
-  /** Another copy goes to a server that has little to do and needs no cold load for it. */
+  /** Another copy goes to a server that has little to do, out of the weight store only if it must. */
   const placeReplica = ({ model: name, count }: ReplicaNeed): PlannedLoad[] => {
     const model = profile.models.get(name);
     if (!model) return [];
@@ -302,14 +321,23 @@
     });
     const candidates = free.flatMap((server) => {
       const candidate = weigh(server, model, weights);
-      if (!candidate || candidate.cold) return [];
+      if (!candidate || candidate.waits) return [];
       return [
         { ...candidate, cost: candidate.cost + server.running * count * RUNNING_MILLISECONDS },
       ];
     });
-    const best = cheapest(candidates);
+    const near = candidates.filter(({ cold }) => !cold);
+    const best = cheapest(near.length > 0 ? near : candidates);
     return best ? [reserve(best, model)] : [];
   };
 
-  return [...[...wants].sort(compareWants).flatMap(place), ...replicas.flatMap(placeReplica)];
+  const work = [
+    ...wants.map((want) => ({ ...want, plan: () => place(want) })),
+    ...replicas.map((need) => ({
+      ...need,
+      objectiveMilliseconds: REPLICA_MILLISECONDS,
+      plan: () => placeReplica(need),
+    })),
+  ];
+  return work.sort(compareWants).flatMap(({ plan }) => plan());
 }
--- a/packages/serving/src/admit.ts
+++ b/packages/serving/src/admit.ts
@@ -70,15 +70,19 @@
     message: present ? 'the key is not known' : 'a key is needed',
   });
 
-const overQuota = (workspace: string, milliseconds: number): Refusal =>
-  createRefusal({
+const overQuota = ({ name, quota }: Workspace, bucket: ReplicatedBucket, cost: number): Refusal => {
+  const { perSecond, burst } = quota!;
+  const milliseconds = bucket.millisecondsUntil(cost);
+  const left = `${Math.round(bucket.level())} left of ${burst}, ${perSecond} more each second`;
+  return createRefusal({
     status: 429,
     code: REFUSAL.RATE_EXCEEDED,
-    message: `workspace "${workspace}" has used its rate and burst`,
+    message: `workspace "${name}" has used its rate and burst: ${cost} needed, ${left}`,
     ...(Number.isFinite(milliseconds)
       ? { retryAfterSeconds: milliseconds / MILLISECONDS_PER_SECOND }
       : {}),
   });
+};
 
 /** What a request counts against a quota. */
 export function costOfCall(call: Call, quota: Quota): number {
@@ -110,7 +114,7 @@
     const bucket = workspace?.quota && bucketOf(workspace.name);
     if (!bucket) return { cost: 0, refund: () => {} };
     const cost = costOfCall(call, workspace.quota!);
-    if (!bucket.take(cost)) throw overQuota(workspace.name, bucket.millisecondsUntil(cost));
+    if (!bucket.take(cost)) throw overQuota(workspace, bucket, cost);
     let refunded = false;
     return {
       cost,
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -8,6 +8,7 @@
   REFUSAL,
   type Refusal,
 } from '@bulrushspar/errors';
+import type { Demand } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import { sendUntilAnswered, type Relay, type Suspects } from '@bulrushspar/routing';
 import type { RetryBudget } from '@bulrushspar/shares';
@@ -65,6 +66,7 @@
   readonly servers: ServerStates;
   readonly waits: ModelWaits;
   readonly budget: RetryBudget;
+  readonly demand: Pick<Demand, 'noteDelays'>;
   readonly suspects: Suspects;
   readonly send: SendCall<SomeCall>;
   /** Has an adapter loaded. @returns whether the server has it now */
@@ -150,7 +152,7 @@
   options: AttemptsOptions<SomeCall>,
 ): Attempts<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, budget, suspects, send, ensureAdapter } = options;
+  const { waits, budget, demand, suspects, send, ensureAdapter } = options;
 
   const choose = ({ admitted, call, tried }: Work<SomeCall>, allowTried: boolean) =>
     chooseHolder({
@@ -269,9 +271,30 @@
     });
   };
 
-  const attempt = async (work: Work<SomeCall>, state: ServerState): Promise<void> => {
+  /** Notes once how long the first byte of an answer took, or how long it has not come. */
+  const watchDelay = ({ call, admitted }: Work<SomeCall>, sinceSent: Stopwatch) => {
+    const { objectiveMilliseconds } = admitted.route;
+    let noted = call.need === undefined;
+    const note = (): void => {
+      if (!noted) demand.noteDelays(call.need!.model, 1, sinceSent() / objectiveMilliseconds);
+      noted = true;
+    };
+    return {
+      onData: note,
+      onEnd: () => {
+        if (sinceSent() > objectiveMilliseconds) note();
+      },
+    };
+  };
+
+  const attempt = async (
+    work: Work<SomeCall>,
+    state: ServerState,
+    sinceSent: Stopwatch,
+  ): Promise<void> => {
     const { call, admitted, relay, signal } = work;
     const { route } = admitted;
+    const delay = watchDelay(work, sinceSent);
     const ended = new AbortController();
     const stopWatching = watchSilence(work, ended);
     const sink = relay.openSink();
@@ -294,12 +317,16 @@
             noteLoad(state, head);
             sink.onHead(head, flow);
           },
-          onData: sink.onData,
+          onData: (chunk) => {
+            delay.onData();
+            sink.onData(chunk);
+          },
         },
         AbortSignal.any([signal, ended.signal]),
       );
       relay.finish();
     } finally {
+      delay.onEnd();
       stopWatching();
       count(state, call.need?.model, -1);
     }
@@ -382,8 +409,8 @@
         work.tried.add(state.entry.id);
         return { state, sinceSent: startStopwatch(clock) };
       },
-      send: async ({ state }) => {
-        await attempt(work, state);
+      send: async ({ state, sinceSent }) => {
+        await attempt(work, state, sinceSent);
         servers.noteOutcome(state, false);
         return state;
       },
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -105,11 +105,15 @@
     const { route } = admitted;
     const allowed = Math.min(route.timeoutMilliseconds, call.patienceMilliseconds ?? Infinity);
     const { signal, cancel } = limit(reply, allowed);
+    let firstByteMilliseconds: number | undefined;
     const relay = openRelay(deliveryOf(route), {
       reply,
       callId: call.id,
       lastEventId: call.lastEventId,
-      onFirst: () => metrics.firstByte.record(age()),
+      onFirst: () => {
+        firstByteMilliseconds = Math.round(age());
+        metrics.firstByte.record(firstByteMilliseconds);
+      },
       mayRepeat: () => attempts.mayRunAgain(work),
     });
     const work: Work<SomeCall> = {
@@ -134,6 +138,7 @@
         workspace: admitted.workspace?.name,
         model: call.need?.model,
         sends: work.sends,
+        firstByteMilliseconds,
         configuration: admission.version(),
         milliseconds: Math.round(age()),
       });
--- a/packages/shares/src/bucket.ts
+++ b/packages/shares/src/bucket.ts
@@ -20,6 +20,8 @@
   giveBack(tokens: number): void;
   /** Counts what another host has taken since it last told. */
   takenElsewhere(tokens: number): void;
+  /** Tokens that are left now; negative where other hosts have taken more than there were. */
+  level(): number;
   /** Milliseconds until there will be this many tokens; infinite where there never will. */
   millisecondsUntil(tokens: number): number;
   /** Tokens that this host has taken since its start, less what it gave back. */
@@ -86,6 +88,10 @@
       // A deficit beyond one burst would refuse work long after a flood has ended.
       level = Math.max(-limits.burst, Math.min(limits.burst, level - tokens));
     },
+    level: () => {
+      refill();
+      return level;
+    },
     millisecondsUntil: (tokens) => {
       refill();
       if (tokens > limits.burst || rate() <= 0) return Number.POSITIVE_INFINITY;
