Do not choose by unread prompt tokens; a standby watcher gathers longer

Also: the second host that watches the store pauses 400 ms after changes (the first tells it sooner), since each change of a server cost two calls.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -123,15 +123,6 @@
   return byServer;
 }
 
-/** Prompt tokens of this host that servers have still to read. */
-function unreadOf(servers: ServerStates): Record<string, number> {
-  const byServer: Record<string, number> = {};
-  for (const { entry, unreadTokens } of servers.all()) {
-    if (unreadTokens > 0) byServer[entry.id] = unreadTokens;
-  }
-  return byServer;
-}
-
 /** Hosts that contend for a duty before this one, as far as it is linked with them. */
 function rankAmongLinked(topology: Topology, links: FleetLinks, self: string): number {
   const own = topology.rankOf(self);
@@ -356,7 +347,6 @@
     quotas,
     demand,
     ownRunning: () => runningOf(servers),
-    ownUnread: () => unreadOf(servers),
     sources: () => sources,
     duty: () => duty,
   });
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -1,7 +1,6 @@
 import { startSlowStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import type { Demand } from '@bulrushspar/loading';
 import type { Link } from '@bulrushspar/peer';
-import type { WorkElsewhere } from '@bulrushspar/serving';
 import type { Incarnation } from '@bulrushspar/store';
 import {
   MESSAGE,
@@ -15,7 +14,7 @@
 import type { Quotas } from './quotas.js';
 import type { Source } from './source.js';
 import type { Topology } from './topology.js';
-import { createRunningTotals, sumOf, withoutModels, type RunningRequests } from './totals.js';
+import { createRunningTotals, sumOf, type RunningRequests } from './totals.js';
 
 /** Exchange of what the hosts of a fleet must know of each other. */
 export interface Gossip {
@@ -32,8 +31,8 @@
   /** Counts first bytes of answers to this host. */
   noteDelays(model: string, answers: number, delays: number): void;
   forget(host: string): void;
-  /** Work of the other hosts at a server. */
-  elsewhere(server: string): WorkElsewhere;
+  /** Requests of the other hosts that run on a server. */
+  elsewhere(server: string): number;
   /** Requests of all hosts that run on a server, by model, as far as they have told this one. */
   running(server: string): ReadonlyMap<string, number>;
   /** Part of the fleet that this host hears, itself included; from 0 to 1. */
@@ -56,8 +55,6 @@
   readonly demand: Demand;
   /** Requests of this host that run, by server and model. */
   readonly ownRunning: () => RunningRequests;
-  /** Prompt tokens of this host that servers have still to read. */
-  readonly ownUnread: () => Readonly<Record<string, number>>;
   readonly sources: () => readonly Source[];
   readonly duty: () => OrderDuty;
 }
@@ -81,12 +78,10 @@
 
 /** Creates the exchange of one host. */
 export function createGossip(options: GossipOptions): Gossip {
-  const { clock, self, topology, quotas, demand, ownRunning, ownUnread } = options;
-  const { sources, duty } = options;
+  const { clock, self, topology, quotas, demand, ownRunning, sources, duty } = options;
   const states = new Map<string, Told<HostState>>();
   const summaries = new Map<string, ToldSummary>();
   const totals = createRunningTotals();
-  const unreadTotals = createRunningTotals();
   const summarizedAt = new Map<string, number>();
   let asked: Record<string, number> = {};
   let delayed: Record<string, AnswerDelays> = {};
@@ -131,7 +126,6 @@
   ): HostState => ({
     taken: quotas.taken(),
     running: ownRunning(),
-    unread: ownUnread(),
     asked: askedSince,
     delays: delaysSince,
     orders: duty().describe(),
@@ -154,20 +148,18 @@
     return [...names];
   };
 
-  /** Sums of other hosts than the receiver, with those of this one. */
-  const addOwn = (sums: Record<string, number>, own: RunningRequests): Record<string, number> => {
-    const all = sums;
-    Object.entries(own).forEach(([server, models]) => {
-      all[server] = (all[server] ?? 0) + sumOf(models);
+  const runningWithout = (receiver: string): Record<string, number> => {
+    const sums = totals.without(receiver);
+    Object.entries(ownRunning()).forEach(([server, models]) => {
+      sums[server] = (sums[server] ?? 0) + sumOf(models);
     });
-    return all;
+    return sums;
   };
 
   const describeFleet = (receiver: string): FleetSummary => ({
     hosts: states.size + 1,
     taken: quotas.totalsWithout(receiver),
-    running: addOwn(totals.without(receiver), ownRunning()),
-    unread: addOwn(unreadTotals.without(receiver), withoutModels(ownUnread())),
+    running: runningWithout(receiver),
     orders: duty().newest(),
     seen: seen(),
     watchers: Object.fromEntries(sources().map(({ kind }) => [kind, watchersOf(kind)])),
@@ -199,7 +191,6 @@
       quotas.hear(peer, state.taken, topology.isHub());
       states.set(peer.host, { body: state, since: startSlowStopwatch(clock) });
       totals.set(peer.host, state.running);
-      unreadTotals.set(peer.host, withoutModels(state.unread));
       Object.entries(state.asked).forEach(([model, credit]) => demand.note(model, credit));
       Object.entries(state.delays).forEach(([model, [answers, delays]]) =>
         demand.noteDelays(model, answers, delays),
@@ -231,14 +222,10 @@
       summaries.delete(host);
       summarizedAt.delete(host);
       totals.forget(host);
-      unreadTotals.forget(host);
     },
     elsewhere: (server) => {
-      if (primary === undefined) {
-        return { requests: totals.of(server), unreadTokens: unreadTotals.of(server) };
-      }
-      const { running = {}, unread = {} } = summaries.get(primary)?.body ?? {};
-      return { requests: running[server] ?? 0, unreadTokens: unread[server] ?? 0 };
+      if (primary === undefined) return totals.of(server);
+      return summaries.get(primary)?.body.running[server] ?? 0;
     },
     running: (server) => {
       const sums = new Map(totals.byModel(server));
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -41,8 +41,6 @@
   /** Quota taken since the start of the host, by workspace. */
   readonly taken: Readonly<Record<string, number>>;
   readonly running: RunningRequests;
-  /** Prompt tokens that servers have still to read. */
-  readonly unread: Readonly<Record<string, number>>;
   /** Credit asked for since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
   /** First bytes of answers since the last state, by model. */
@@ -79,8 +77,6 @@
   readonly taken: Readonly<Record<string, number>>;
   /** Requests that run now, by server. */
   readonly running: Readonly<Record<string, number>>;
-  /** Prompt tokens that servers have still to read. */
-  readonly unread: Readonly<Record<string, number>>;
   /** The newest lease to give orders, if any is known. */
   readonly orders?: LeaseOfHost;
   /** Version at which each followed kind last changed. */
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -58,6 +58,8 @@
 const MILLISECONDS_PER_SECOND = 1000;
 /** Time that changes may take from host to host. */
 const BEHIND_MILLISECONDS = 250;
+/** Pause of a second host that watches: the first tells it of changes sooner. */
+const STANDBY_MILLISECONDS = 400;
 /** Time after which a second host that watches tells of changes that the first has not told of. */
 const SECOND_MILLISECONDS = 100;
 const PULL_MILLISECONDS = 1000;
@@ -163,7 +165,8 @@
       kind,
       signal,
       watchSeconds,
-      gatherMilliseconds,
+      gatherMilliseconds: () =>
+        watchersBefore(kind) === 0 ? gatherMilliseconds : STANDBY_MILLISECONDS,
       longestPauseMilliseconds: LONGEST_PAUSE_MILLISECONDS,
       onAnswer,
       onFailure,
--- a/packages/entry/src/totals.ts
+++ b/packages/entry/src/totals.ts
@@ -16,13 +16,6 @@
 
 const NONE: ReadonlyMap<string, number> = new Map();
 
-/** Counts by server as they are kept by server and model. */
-export function withoutModels(counts: Readonly<Record<string, number>>): RunningRequests {
-  return Object.fromEntries(
-    Object.entries(counts).map(([server, count]) => [server, { '': count }]),
-  );
-}
-
 /** Requests of all models together. */
 export function sumOf(models: Readonly<Record<string, number>> = {}): number {
   return Object.values(models).reduce((sum, count) => sum + count, 0);
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -23,7 +23,7 @@
   type Reply,
   type SendCall,
 } from './call.js';
-import { chooseHolder, partKey, promptTokens, SHORT_PROMPT_TOKENS } from './choose.js';
+import { chooseHolder, partKey } from './choose.js';
 import type { ServingMetrics } from './metrics.js';
 import type { ServerState, ServerStates } from './servers.js';
 import { WAIT_END, type ModelWaits, type WaitResult } from './waits.js';
@@ -97,13 +97,6 @@
 const NO_PLACE_SECONDS = 1;
 const NO_CAPACITY_SECONDS = 0.25;
 
-/**
- * Rank of a request at a server: that of its route or workspace; among equals long prompts come
- * last, since each keeps all others waiting while it is read.
- */
-const urgencyOf = ({ admitted, call: { need } }: Pick<Work<Call>, 'admitted' | 'call'>): number =>
-  admitted.priority * 2 + (need && promptTokens(need) > SHORT_PROMPT_TOKENS ? 1 : 0);
-
 /** A server and when the request was sent there. */
 interface Sending {
   readonly state: ServerState;
@@ -278,26 +271,19 @@
     });
   };
 
-  /** Follows a prompt until the first byte of its answer shows that the server has read it. */
-  const watchPrompt = (
-    { call: { need }, admitted }: Work<SomeCall>,
-    state: ServerState,
-    sinceSent: Stopwatch,
-  ) => {
+  /** Notes once how long the first byte of an answer took, or how long it has not come. */
+  const watchDelay = ({ call, admitted }: Work<SomeCall>, sinceSent: Stopwatch) => {
     const { objectiveMilliseconds } = admitted.route;
-    const counted = state;
-    const tokens = need ? promptTokens(need) : 0;
-    let reading = need !== undefined;
-    counted.unreadTokens += tokens;
-    const end = (counts: boolean): void => {
-      if (!reading) return;
-      reading = false;
-      counted.unreadTokens -= tokens;
-      if (counts) demand.noteDelays(need!.model, 1, sinceSent() / objectiveMilliseconds);
+    let noted = call.need === undefined;
+    const note = (): void => {
+      if (!noted) demand.noteDelays(call.need!.model, 1, sinceSent() / objectiveMilliseconds);
+      noted = true;
     };
     return {
-      onData: () => end(true),
-      onEnd: () => end(sinceSent() > objectiveMilliseconds),
+      onData: note,
+      onEnd: () => {
+        if (sinceSent() > objectiveMilliseconds) note();
+      },
     };
   };
 
@@ -308,7 +294,7 @@
   ): Promise<void> => {
     const { call, admitted, relay, signal } = work;
     const { route } = admitted;
-    const prompt = watchPrompt(work, state, sinceSent);
+    const delay = watchDelay(work, sinceSent);
     const ended = new AbortController();
     const stopWatching = watchSilence(work, ended);
     const sink = relay.openSink();
@@ -321,7 +307,7 @@
           server: state.entry,
           remainingMilliseconds: work.remainingMilliseconds(),
           workspace: admitted.workspace?.name,
-          priority: urgencyOf(work),
+          priority: admitted.priority,
           lastEventId: relay.lastEventId(),
           ownConnection: !isRepeatable(route),
         },
@@ -332,7 +318,7 @@
             sink.onHead(head, flow);
           },
           onData: (chunk) => {
-            prompt.onData();
+            delay.onData();
             sink.onData(chunk);
           },
         },
@@ -340,7 +326,7 @@
       );
       relay.finish();
     } finally {
-      prompt.onEnd();
+      delay.onEnd();
       stopWatching();
       count(state, call.need?.model, -1);
     }
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -27,10 +27,6 @@
 const FAILING_MILLISECONDS = 2000;
 /** Prompt tokens that a server reads in a millisecond, for comparing with the other costs. */
 const PROMPT_TOKENS_PER_MILLISECOND = 30;
-/** Prompts up to this size are read within a piece or two, which disturbs nobody. */
-export const SHORT_PROMPT_TOKENS = 2000;
-/** Part of the time for which a long prompt is read that each running request loses by it. */
-const DISTURBED_PART = 0.1;
 /** Time for which a prompt part is expected to stay in a server's memory. */
 const PART_MILLISECONDS = 20_000;
 /** Time for which a load that came with an answer is worth more than own counts. */
@@ -40,7 +36,7 @@
 
 /** Requests that a server has, as far as this host can tell. */
 export function workOf(state: ServerState, now: number): number {
-  const counted = state.outstanding + state.elsewhere.requests;
+  const counted = state.outstanding + state.outstandingElsewhere;
   const { load } = state;
   if (!load || now - load.at > LOAD_MILLISECONDS) return counted;
   return Math.max(counted, load.running + load.waiting);
@@ -57,11 +53,6 @@
   return missing;
 }
 
-/** Tokens of a whole prompt. */
-export function promptTokens({ promptParts }: ModelNeed): number {
-  return promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
-}
-
 /** Names a prompt part as one model with one adapter keeps it. */
 export function partKey({ model, adapter = '' }: ModelNeed, id: string): string {
   return `${model}/${adapter}/${id}`;
@@ -75,12 +66,7 @@
   let cost = FULL_MILLISECONDS * full + FAILING_MILLISECONDS * state.failing;
   if (entry.failureDomain !== failureDomain) cost += OTHER_DOMAIN_MILLISECONDS;
   if (!need) return cost;
-  const reading = missingPromptTokens(state, need, now) / PROMPT_TOKENS_PER_MILLISECOND;
-  const unread = state.unreadTokens + state.elsewhere.unreadTokens;
-  cost += reading + unread / PROMPT_TOKENS_PER_MILLISECOND;
-  // While a long prompt is read, all that runs there waits between its pieces.
-  const longReading = Math.max(0, promptTokens(need) - SHORT_PROMPT_TOKENS);
-  cost += (longReading / PROMPT_TOKENS_PER_MILLISECOND) * workOf(state, now) * DISTURBED_PART;
+  cost += missingPromptTokens(state, need, now) / PROMPT_TOKENS_PER_MILLISECOND;
   const { adapter } = need;
   if (adapter !== undefined && !holdsAdapter(state, need.model, adapter)) {
     cost += ADAPTER_MILLISECONDS;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -38,12 +38,7 @@
 export { chooseHolder, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
 export { createServingMetrics, type ServingMetrics } from './metrics.js';
 export { createServe, type Serve, type ServeOptions } from './serve.js';
-export {
-  createServerStates,
-  type ServerState,
-  type ServerStates,
-  type WorkElsewhere,
-} from './servers.js';
+export { createServerStates, type ServerState, type ServerStates } from './servers.js';
 export {
   createModelWaits,
   WAIT_END,
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -9,10 +9,8 @@
   outstanding: number;
   /** The same by model. */
   readonly outstandingByModel: Map<string, number>;
-  /** Prompt tokens that this host has sent there and that no first byte has answered yet. */
-  unreadTokens: number;
-  /** Work of the other hosts there, as they last told. */
-  readonly elsewhere: WorkElsewhere;
+  /** Requests of the other hosts that run there, as they last told. */
+  readonly outstandingElsewhere: number;
   /** Part of the last requests that failed for the server's fault, from 0 to 1. */
   failing: number;
   /** Not chosen before this moment by the monotonic clock, unless there is no other. */
@@ -28,13 +26,6 @@
   readonly parts: Map<string, number>;
 }
 
-/** Work of the other hosts at a server. */
-export interface WorkElsewhere {
-  readonly requests: number;
-  /** Prompt tokens that the server has still to read. */
-  readonly unreadTokens: number;
-}
-
 /** Servers as this host sees them. */
 export interface ServerStates {
   update(servers: ServerView): void;
@@ -61,15 +52,13 @@
 /** Time after which a model that is still in the server's entry was not unloaded. */
 const UNLOADING_MILLISECONDS = 2500;
 
-const NO_WORK: WorkElsewhere = { requests: 0, unreadTokens: 0 };
-
 /**
  * Creates the states; there are no servers at first.
- * @param elsewhere work of the other hosts at a server
+ * @param elsewhere requests of the other hosts that run on a server
  */
 export function createServerStates(
   clock: Clock,
-  elsewhere: (server: string) => WorkElsewhere = () => NO_WORK,
+  elsewhere: (server: string) => number = () => 0,
 ): ServerStates {
   const states = new Map<string, ServerState>();
   let byService = new Map<string, ServerState[]>();
@@ -78,8 +67,7 @@
     entry,
     outstanding: 0,
     outstandingByModel: new Map(),
-    unreadTokens: 0,
-    get elsewhere() {
+    get outstandingElsewhere() {
       return elsewhere(entry.id);
     },
     failing: 0,
--- a/packages/store/src/follow.ts
+++ b/packages/store/src/follow.ts
@@ -29,7 +29,7 @@
   /** Longest wait of one watch call, in seconds. */
   readonly watchSeconds?: number;
   /** Pause after a watch that brought changes, in which further ones gather, in milliseconds. */
-  readonly gatherMilliseconds?: number;
+  readonly gatherMilliseconds?: () => number;
   /** Pause after a failed call, in milliseconds; it doubles with each failure in a row. */
   readonly pauseMilliseconds?: number;
   readonly longestPauseMilliseconds?: number;
@@ -52,7 +52,7 @@
   options: FollowOptions<Value>,
   cursor: Cursor<Value>,
 ): Promise<Cursor<Value> | undefined> {
-  const { store, clock, kind, watchSeconds = 20, gatherMilliseconds = 0, signal } = options;
+  const { store, clock, kind, watchSeconds = 20, gatherMilliseconds = () => 0, signal } = options;
   const answer = await store.watch<Value>(kind, cursor.version, watchSeconds, signal);
   options.onAnswer?.();
   if (answer.expired) return undefined;
@@ -63,7 +63,8 @@
   if (answer.changes.length > 0) options.onChanges?.(answer.changes, answer.version);
   if (answer.changes.length > 0) {
     options.onView(cursor.view, { changedAt: answer.version });
-    if (gatherMilliseconds > 0) await clock.delay(gatherMilliseconds, signal);
+    const gather = gatherMilliseconds();
+    if (gather > 0) await clock.delay(gather, signal);
   }
   return { version: answer.version, view: cursor.view };
 }
