A fault soak of the platform's hosts; a served request crashes no server

The soak runs hosts as processes before a store, engines and plain servers behind loopback proxies: hosts are paused, killed, restarted and reloaded; links to the store and to servers are silenced, cut one way, reset or delayed; the store is slow or loses answers; servers crash, are replaced or misbehave; keys are withdrawn. It checks from outside: once, not run, order and own answers, workspace, keys, drain, fences and the pause between givers of orders, memory, quota, answers in time, stops, recovery. A request that is served is no longer suspected (serving/serve: fails without the change).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,7 +25,7 @@
 
 /** Entry points decide the exit code of their process. */
 const entries = {
-  files: ['packages/*/src/main.ts', 'platform/src/main.ts'],
+  files: ['packages/*/src/main.ts', 'platform/src/main.ts', 'platform/test/soak/main.ts'],
   rules: { 'n/no-process-exit': 'off' },
 };
 
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -86,6 +86,13 @@
     return admission.admit(call);
   };
 
+  /** A connection may break for other reasons than a crash: whatever is served crashes no server. */
+  const clearSuspicion = (call: SomeCall): void => {
+    if (suspects.isEmpty()) return;
+    const fingerprint = call.fingerprint();
+    if (suspects.crashes(fingerprint) > 0) suspects.clear(fingerprint);
+  };
+
   /** Ends the work for a request when its time is over or its caller gone. */
   const limit = (reply: Reply, milliseconds: number) => {
     const controller = new AbortController();
@@ -131,6 +138,7 @@
     if (call.need) demand.note(call.need.model, 1);
     try {
       const state = await attempts.run(work);
+      clearSuspicion(call);
       logger.info('served', {
         request: call.id,
         server: state.entry.id,
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -61,6 +61,13 @@
     Then the caller gets 503
     And 3 servers received it
 
+  Scenario: A request that is served between broken connections crashes no server
+    Given a once route
+    And servers that one after another are cut, are cut, answer, are cut, answer
+    When the same request is served 5 times
+    Then the caller gets 200 whole
+    And 5 servers received it
+
   Scenario Outline: A request whose model is not loaded
     Given a resumable route
     And no server holds the model
--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -7,6 +7,12 @@
   SILENCE_OPEN: 'silence-open',
   /** Passes nothing on, neither on open nor on new connections. */
   CUT: 'cut',
+  /** Passes on what goes to the target, and nothing back. */
+  CUT_ANSWERS: 'cut-answers',
+  /** Resets open and new connections. */
+  RESET: 'reset',
+  /** Passes everything on later. */
+  DELAY: 'delay',
 } as const;
 
 /** One of {@link RELAY}. */
@@ -20,6 +26,8 @@
 }
 
 const LOOPBACK = '127.0.0.1';
+/** Time by which a delaying relay holds each piece up. */
+const DELAY_MILLISECONDS = 150;
 
 /** Passes connections on to a port on loopback. */
 export async function startRelay(target: number): Promise<RelayStandin> {
@@ -27,6 +35,10 @@
   let mode: RelayMode = RELAY.PASS;
 
   const join = (near: Socket): void => {
+    if (mode === RELAY.RESET) {
+      near.resetAndDestroy();
+      return;
+    }
     const far = connect(target, LOOPBACK);
     const pair = { silent: mode === RELAY.CUT, sockets: [near, far] };
     open.add(pair);
@@ -39,7 +51,9 @@
       { from: far, to: near },
     ].forEach(({ from, to }) => {
       from.on('data', (data) => {
-        if (!pair.silent) to.write(data);
+        if (pair.silent || (mode === RELAY.CUT_ANSWERS && from === far)) return;
+        if (mode === RELAY.DELAY) setTimeout(() => to.write(data), DELAY_MILLISECONDS);
+        else to.write(data);
       });
       from.on('close', () => {
         if (!pair.silent) end();
@@ -56,7 +70,10 @@
     port: (server.address() as { port: number }).port,
     setMode: (next) => {
       mode = next;
-      const silent = next !== RELAY.PASS;
+      if (next === RELAY.RESET) {
+        open.forEach(({ sockets }) => sockets.forEach((socket) => socket.resetAndDestroy()));
+      }
+      const silent = next === RELAY.CUT || next === RELAY.SILENCE_OPEN;
       open.forEach((pair) => {
         // What went silent stays so for good; only its ends can give it up.
         Object.assign(pair, { silent: pair.silent || silent });
