Split the wiring of a host, name the refusals' module; wait for the host records before the first view

Cause: a host that starts does not know yet whether its fleet has hubs, so each read the whole store (found while reading: the topology of one host is a mesh).

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,7 +5,6 @@
 import { createDemand, type EngineControl, type Outlook } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
-import type { PeerHandlers } from '@bulrushspar/peer';
 import { createSuspects } from '@bulrushspar/routing';
 import {
   createAdmission,
@@ -17,31 +16,24 @@
   type Call,
   type SendCall,
   type Serve,
-  type ServerStates,
 } from '@bulrushspar/serving';
 import { createRetryBudget } from '@bulrushspar/shares';
 import type { Incarnation, ObjectStore, ObjectView } from '@bulrushspar/store';
 import { createFleet, type Fleet } from './fleet.js';
 import { createGossip } from './gossip.js';
 import { HOST_KIND } from './group.js';
+import { createHandlers } from './handlers.js';
 import {
   MESSAGE,
   type AdapterMessage,
   type ChangesMessage,
-  type FleetSummary,
-  type HostState,
-  type OutlookMessage,
-  type PullMessage,
-  type SuspectMessage,
   type UnloadingMessage,
   type WantsMessage,
 } from './messages.js';
 import { createOrderDuty, type OrderDuty } from './orders.js';
 import { createQuotas, type QuotaTolerance } from './quotas.js';
-import type { FleetLinks } from './links.js';
 import { createSource } from './source.js';
-import type { Topology } from './topology.js';
-import type { RunningRequests } from './totals.js';
+import { runningOf } from './totals.js';
 
 /** Where a host is and listens for the others. */
 export interface EntryHost {
@@ -111,26 +103,6 @@
 /** Servers write often: changes within this time come with one call to the store. */
 const GATHER_MILLISECONDS = 50;
 
-/** Requests of this host that run, by server and model. */
-function runningOf(servers: ServerStates): RunningRequests {
-  const byServer: Record<string, Record<string, number>> = {};
-  for (const { entry, outstanding, outstandingByModel } of servers.all()) {
-    if (outstanding > 0) {
-      const models = [...outstandingByModel].filter(([, count]) => count > 0);
-      byServer[entry.id] = models.length > 0 ? Object.fromEntries(models) : { '': outstanding };
-    }
-  }
-  return byServer;
-}
-
-/** Hosts that contend for a duty before this one, as far as it is linked with them. */
-function rankAmongLinked(topology: Topology, links: FleetLinks, self: string): number {
-  const own = topology.rankOf(self);
-  const better = links.all().filter(({ peer }) => topology.rankOf(peer.host) < own).length;
-  // A host that is not linked with all contends after the hubs, at a time of its own.
-  return topology.isHub() ? better : Math.max(better, own);
-}
-
 /** Starts an entry host; it serves as soon as it has a configuration. */
 export function startEntry<SomeCall extends Call>(
   options: EntryOptions<SomeCall>,
@@ -205,9 +177,12 @@
     watchersBefore: (kind: string) => gossip.watchersBefore(kind),
     onChanges: (message: ChangesMessage) => fleet.broadcast(MESSAGE.CHANGES, message),
   };
-  /** A hub gives a host that has just started what it has already. */
-  const awaitsHub = (): boolean =>
-    !fleet.topology.isHub() && sinceStart() < FIRST_VIEW_MILLISECONDS;
+  /** A hub gives a host that has just started what it has already; records tell who is a hub. */
+  const awaitsHub = (): boolean => {
+    const { topology } = fleet;
+    const mayComeFromHub = topology.size() === 1 || !topology.isHub();
+    return mayComeFromHub && sinceStart() < FIRST_VIEW_MILLISECONDS;
+  };
   const configurations = createSource({
     ...sourceOptions,
     kind: kinds.configuration,
@@ -243,7 +218,7 @@
     running: (server) => gossip.running(server),
     handoverMilliseconds: bounds.handoverMilliseconds,
     othersReachStore: () => gossip.othersReachStore(),
-    rank: () => rankAmongLinked(fleet.topology, fleet.links, host.name),
+    rank: () => fleet.rank(),
     onOutlook: (outlook, waiting) => {
       takeOutlook(outlook);
       waiting.forEach((name) => fleet.links.to(name)?.send(MESSAGE.OUTLOOK, outlook));
@@ -276,44 +251,15 @@
     });
   };
 
-  const handlers: PeerHandlers = {
-    [MESSAGE.STATE]: (body, from) => {
-      const link = fleet.links.to(from.host);
-      if (link) gossip.hear(link, body as HostState);
-    },
-    [MESSAGE.SUMMARY]: (body, from) => {
-      const link = fleet.links.to(from.host);
-      if (link) gossip.hearSummary(link, body as FleetSummary);
-    },
-    [MESSAGE.WANTS]: (body, from) => duty.commander.setWants(from.host, body as WantsMessage),
-    [MESSAGE.OUTLOOK]: (body) => takeOutlook(body as OutlookMessage),
-    [MESSAGE.ADAPTER]: (body) => {
-      const { server, model, adapter } = body as AdapterMessage;
-      return duty.commander.ensureAdapter(server, model, adapter);
-    },
-    [MESSAGE.UNLOADING]: (body, from) => {
-      const { server, model } = body as UnloadingMessage;
-      servers.noteUnloading(server, model);
-      fleet.passOn(MESSAGE.UNLOADING, body, from.host);
-    },
-    [MESSAGE.CHANGES]: (body, from) => {
-      const message = body as ChangesMessage;
-      const link = fleet.links.to(from.host);
-      const source = sources.find(({ kind }) => kind === message.kind);
-      if (!link || !source) return;
-      const isNews = message.changedAt > source.changedAt();
-      source.take(link, message);
-      if (isNews) fleet.passOn(MESSAGE.CHANGES, message, from.host);
-    },
-    [MESSAGE.PULL]: (body) => {
-      const { kind } = body as PullMessage;
-      return sources.find((source) => source.kind === kind)?.snapshot();
-    },
-    [MESSAGE.SUSPECT]: (body, from) => {
-      suspects.hear(body as SuspectMessage);
-      fleet.passOn(MESSAGE.SUSPECT, body, from.host);
-    },
-  };
+  const handlers = createHandlers({
+    fleet: () => fleet,
+    gossip: () => gossip,
+    sources,
+    commander: duty.commander,
+    suspects,
+    servers,
+    takeOutlook,
+  });
 
   const fleet: Fleet = createFleet({
     self,
@@ -346,7 +292,7 @@
     topology: fleet.topology,
     quotas,
     demand,
-    ownRunning: () => runningOf(servers),
+    ownRunning: () => runningOf(servers.all()),
     sources: () => sources,
     duty: () => duty,
   });
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -14,6 +14,8 @@
   readonly links: FleetLinks;
   /** Takes the records of all hosts. */
   takeHosts(view: ObjectView<unknown>): void;
+  /** Hosts that contend for a duty before this one, as far as it is linked with them. */
+  rank(): number;
   /** Sends to all hosts; hubs pass it on to those that are not linked with this one. */
   broadcast(type: string, body: unknown): void;
   /** Passes what another host has broadcast on to the hosts that rely on this one. */
@@ -141,6 +143,12 @@
       topology.update(peers);
       connect();
     },
+    rank: () => {
+      const own = topology.rankOf(self.host);
+      const better = links.all().filter(({ peer }) => topology.rankOf(peer.host) < own).length;
+      // A host that is not linked with all contends after the hubs, at a time of its own.
+      return topology.isHub() ? better : Math.max(better, own);
+    },
     broadcast: links.broadcast,
     passOn: (type, body, from) => {
       // What a hub sends reaches all hosts directly.
--- a/packages/entry/src/topology.ts
+++ b/packages/entry/src/topology.ts
@@ -76,6 +76,7 @@
   let ranking: readonly string[] = [self];
   let ranks = new Map([[self, 0]]);
   let domains = new Map<string, string>();
+  let hubCount = LEAST_HUBS;
   const linked = new Set<string>();
   /** Since when a link is missing that this host wants. */
   const missing = new Map<string, Stopwatch>();
@@ -87,15 +88,12 @@
     return (missing.get(host)?.() ?? 0) > downMilliseconds;
   };
 
-  const hubCount = (): number =>
-    Math.min(MOST_HUBS, Math.max(LEAST_HUBS, new Set(domains.values()).size));
-
   /** The hubs, and the hosts before them in rank that are down. */
   const chooseHubs = () => {
     const hubs: string[] = [];
     const down: string[] = [];
     for (const host of ranking) {
-      if (hubs.length >= hubCount()) break;
+      if (hubs.length >= hubCount) break;
       if (isDown(host)) down.push(host);
       else hubs.push(host);
     }
@@ -112,6 +110,7 @@
       ranking = rankHosts(known);
       ranks = new Map(ranking.map((host, rank) => [host, rank]));
       domains = new Map(known.map(({ host, failureDomain }) => [host, failureDomain]));
+      hubCount = Math.min(MOST_HUBS, Math.max(LEAST_HUBS, new Set(domains.values()).size));
       [...missing.keys()].forEach((host) => {
         if (!ranks.has(host)) missing.delete(host);
       });
--- a/packages/entry/src/totals.ts
+++ b/packages/entry/src/totals.ts
@@ -1,6 +1,20 @@
+import type { ServerState } from '@bulrushspar/serving';
+
 /** Requests that run, by server and model; without a model under the empty name. */
 export type RunningRequests = Readonly<Record<string, Readonly<Record<string, number>>>>;
 
+/** Requests of a host that run, as it knows its servers. */
+export function runningOf(servers: Iterable<ServerState>): RunningRequests {
+  const byServer: Record<string, Record<string, number>> = {};
+  for (const { entry, outstanding, outstandingByModel } of servers) {
+    if (outstanding > 0) {
+      const models = [...outstandingByModel].filter(([, count]) => count > 0);
+      byServer[entry.id] = models.length > 0 ? Object.fromEntries(models) : { '': outstanding };
+    }
+  }
+  return byServer;
+}
+
 /** Sums of what runs for several hosts, kept up to date by what changes. */
 export interface RunningTotals {
   /** Replaces what runs for one host. */
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,13 +1,6 @@
 /** The attempts of one request: choosing servers, sending, judging what went wrong. */
 import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
-import {
-  createRefusal,
-  isRefusal,
-  messageOf,
-  RAN,
-  REFUSAL,
-  type Refusal,
-} from '@bulrushspar/errors';
+import { isRefusal, messageOf, type Refusal } from '@bulrushspar/errors';
 import type { Demand } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import { sendUntilAnswered, type Relay, type Suspects } from '@bulrushspar/routing';
@@ -26,7 +19,8 @@
 import { chooseHolder, partKey } from './choose.js';
 import type { ServingMetrics } from './metrics.js';
 import type { ServerState, ServerStates } from './servers.js';
-import { WAIT_END, type ModelWaits, type WaitResult } from './waits.js';
+import { failedAfterSending, noAdapter, noServer, refuseWait } from './refusals.js';
+import { WAIT_END, type ModelWaits } from './waits.js';
 
 /** A request on its way. */
 export interface Work<SomeCall extends Call> {
@@ -86,16 +80,8 @@
 /** Part of the time left after which a repeatable request that is not answered goes elsewhere. */
 const SILENT_PART = 0.4;
 const LEAST_SILENT_MILLISECONDS = 250;
-/** Time that a new giver of orders needs until it may load a model. */
-const COMMANDER_SECONDS = 3;
-const MILLISECONDS_PER_SECOND = 1000;
 /** Prompt parts remembered for each server; far more than are asked for while they are kept. */
 const MOST_PARTS = 5000;
-/** Another host takes the request at once. */
-const STOPPING_SECONDS = 0.05;
-/** Time in which a server usually has room for another model: a load and its use. */
-const NO_PLACE_SECONDS = 1;
-const NO_CAPACITY_SECONDS = 0.25;
 
 /** A server and when the request was sent there. */
 interface Sending {
@@ -103,50 +89,6 @@
   readonly sinceSent: Stopwatch;
 }
 
-const notRun = (status: number, message: string, retryAfterSeconds?: number): Refusal =>
-  createRefusal({ status, code: REFUSAL.NO_CAPACITY, message, retryAfterSeconds });
-
-/** Refusal of a request that a server may have run. */
-export const failedAfterSending = (cause: unknown): Refusal =>
-  createRefusal({
-    status: 502,
-    code: REFUSAL.TARGET_FAILED,
-    message: `the server failed: ${messageOf(cause)}`,
-    ran: RAN.UNKNOWN,
-    cause,
-  });
-
-/** Refusal of a request by a host that stops. */
-export const stoppingRefusal = (): Refusal =>
-  createRefusal({
-    status: 503,
-    code: REFUSAL.STOPPING,
-    message: 'this host is stopping',
-    retryAfterSeconds: STOPPING_SECONDS,
-  });
-
-/** End of a request whose caller is gone. */
-export const callerGone = (): Refusal =>
-  createRefusal({
-    status: 499,
-    code: REFUSAL.BAD_REQUEST,
-    message: 'the caller has closed the connection',
-    ran: RAN.UNKNOWN,
-  });
-
-const refuseWait = ({ end, readyMilliseconds }: WaitResult, model: string): Refusal => {
-  if (end === WAIT_END.GONE) return callerGone();
-  if (end === WAIT_END.STOPPING) return stoppingRefusal();
-  if (end === WAIT_END.NO_PLACE) {
-    return notRun(503, `no server has room for model "${model}" now`, NO_PLACE_SECONDS);
-  }
-  if (end === WAIT_END.NO_COMMANDER || readyMilliseconds === undefined) {
-    return notRun(503, `nobody loads model "${model}" now`, COMMANDER_SECONDS);
-  }
-  const seconds = readyMilliseconds / MILLISECONDS_PER_SECOND;
-  return notRun(503, `model "${model}" will not be loaded in time`, seconds);
-};
-
 /** Creates the attempts of one host. */
 export function createAttempts<SomeCall extends Call>(
   options: AttemptsOptions<SomeCall>,
@@ -194,12 +136,6 @@
     if (result.end !== WAIT_END.READY) throw refuseWait(result, model);
   };
 
-  const noAdapter = ({ model, adapter }: ModelNeed): Refusal =>
-    notRun(503, `adapter "${adapter}" of "${model}" is not loaded`, NO_PLACE_SECONDS);
-
-  const noServer = (work: Work<SomeCall>): Refusal =>
-    notRun(503, `no server of "${work.admitted.service}" takes the request`, NO_CAPACITY_SECONDS);
-
   /** @returns whether the server has the request's adapter now */
   const prepareAdapter = async (state: ServerState, need: ModelNeed): Promise<boolean> => {
     const { model, adapter } = need;
@@ -215,7 +151,7 @@
     const fresh = choose(work, false);
     if (fresh) return fresh;
     const again = choose(work, true);
-    if (!again) throw noServer(work);
+    if (!again) throw noServer(work.admitted.service);
     await clock.delay(SAME_SERVER_MILLISECONDS);
     return again;
   };
@@ -387,7 +323,7 @@
       metrics.retries.add();
       return;
     }
-    throw work.runs > 0 ? failedAfterSending(last) : noServer(work);
+    throw work.runs > 0 ? failedAfterSending(last) : noServer(work.admitted.service);
   };
 
   /** Finds a server for the next attempt; an earlier one decides what a refusal may claim. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -16,13 +16,7 @@
   type AnswerOptions,
   type Delivery,
 } from './answer.js';
-export {
-  createAttempts,
-  stoppingRefusal,
-  type Attempts,
-  type AttemptsOptions,
-  type Work,
-} from './attempts.js';
+export { createAttempts, type Attempts, type AttemptsOptions, type Work } from './attempts.js';
 export {
   isRepeatable,
   type AnswerHead,
@@ -37,6 +31,7 @@
 } from './call.js';
 export { chooseHolder, costOf, partKey, workOf, type ChoiceInput } from './choose.js';
 export { createServingMetrics, type ServingMetrics } from './metrics.js';
+export { stoppingRefusal } from './refusals.js';
 export { createServe, type Serve, type ServeOptions } from './serve.js';
 export { createServerStates, type ServerState, type ServerStates } from './servers.js';
 export {
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -5,13 +5,8 @@
 import type { Demand } from '@bulrushspar/loading';
 import type { Admission, Admitted } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
-import {
-  callerGone,
-  createAttempts,
-  failedAfterSending,
-  type AttemptsOptions,
-  type Work,
-} from './attempts.js';
+import { createAttempts, type AttemptsOptions, type Work } from './attempts.js';
+import { callerGone, failedAfterSending } from './refusals.js';
 import type { Call, Reply } from './call.js';
 
 /** Serves one request; never rejects. */
