A giver of orders that has said that its term is over does not renew it

The state told to the others says "over" when a term has run out unrenewed; the next renewal could still succeed under the same number, while another host had taken over. Ruled out: orders in flight (300 ms at most), the pause by server (it only made the window visible). Change: saying so abandons the term.

--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -158,7 +158,11 @@
   const describe = (): OrderLease | undefined => {
     const fencing = lease.held();
     if (fencing !== undefined) told = { fencing, over: false };
-    else if (told) told = { ...told, over: true };
+    else if (told && !told.over) {
+      // Others take over as soon as they hear this: a late answer must not renew the same term.
+      lease.abandon();
+      told = { ...told, over: true };
+    }
     if (!told || !sinceOrder) return told;
     const since = { ...told, sinceOrder: Math.round(sinceOrder()) };
     return told.over ? { ...since, sinceOrderAt: recentOrders() } : since;
--- a/packages/entry/test/orders.ts
+++ b/packages/entry/test/orders.ts
@@ -28,12 +28,14 @@
   /** Last moment at which the first host could have ordered. */
   lastPossible: number;
   found: Ordered;
+  overFencing: number;
 }
 
 const HANDOVER_MILLISECONDS = 3300;
 const STEP_MILLISECONDS = 10;
 const TELL_MILLISECONDS = 200;
 const TERM_MILLISECONDS = 2000;
+const TURN_MILLISECONDS = 600;
 const MODELS = ['m1', 'm2', 'm3'];
 const silent = { info: () => {}, warn: () => {}, error: () => {} };
 
@@ -124,7 +126,7 @@
     onUnloading: () => {},
     handoverMilliseconds: HANDOVER_MILLISECONDS,
     rank: () => rank,
-    othersReachStore: () => true,
+    othersReachStore: () => world.givers?.some((other) => other.reachesStore) ?? true,
   });
   duty.setServers(SERVERS);
   const giver: Giver = { duty, stopping, reachesStore: true, dead: false };
@@ -184,6 +186,31 @@
   },
 );
 
+When(
+  'neither reaches the store for {int} ms, and the first says that its term is over',
+  async function away(this: DutyWorld, milliseconds: number) {
+    this.givers.forEach((giver) => Object.assign(giver, { reachesStore: false }));
+    await pass(this, milliseconds);
+    const told = this.givers[0].duty.describe()!;
+    assert(told.over);
+    this.overFencing = told.fencing;
+  },
+);
+
+When('the first reaches the store again', async function back(this: DutyWorld) {
+  this.givers[0].reachesStore = true;
+  await pass(this, TURN_MILLISECONDS);
+});
+
+Then(
+  'it leads under a higher fencing number than the one that was over',
+  function check(this: DutyWorld) {
+    const { fencing, over } = this.givers[0].duty.describe()!;
+    assert(!over);
+    assert(fencing > this.overFencing);
+  },
+);
+
 const orderOf = (world: DutyWorld, server: string): Ordered =>
   world.ordered.find((order) => order.host === 'b' && order.server === server)!;
 
