Remove the copies of late and often asked models

A copy takes memory from the rare models, which carry half of the credit. Kept: a crowded model's copy competes with the waiting requests and may come out of the weight store.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -306,11 +306,7 @@
     admission,
     servers,
     waits,
-    demand: {
-      ...demand,
-      note: (model, credit) => gossip.noteAsked(model, credit),
-      noteDelays: (model, answers, delays) => gossip.noteDelays(model, answers, delays),
-    },
+    demand: { ...demand, note: (model, credit) => gossip.noteAsked(model, credit) },
     budget,
     suspects,
     send: options.send,
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -5,7 +5,6 @@
 import {
   MESSAGE,
   SUMMARY_RATE,
-  type AnswerDelays,
   type FleetSummary,
   type HostState,
   type SummaryRate,
@@ -28,8 +27,6 @@
   hearSummary(link: Link, summary: FleetSummary): void;
   /** Counts a request of this host for a model. */
   noteAsked(model: string, credit: number): void;
-  /** Counts first bytes of answers to this host. */
-  noteDelays(model: string, answers: number, delays: number): void;
   forget(host: string): void;
   /** Requests of the other hosts that run on a server. */
   elsewhere(server: string): number;
@@ -84,7 +81,6 @@
   const totals = createRunningTotals();
   const summarizedAt = new Map<string, number>();
   let asked: Record<string, number> = {};
-  let delayed: Record<string, AnswerDelays> = {};
   /** Hub that this host counts on; undefined while it hears all others itself. */
   let primary: string | undefined;
 
@@ -120,14 +116,10 @@
   const seen = (): Record<string, number> =>
     Object.fromEntries(sources().map((source) => [source.kind, source.changedAt()]));
 
-  const describe = (
-    askedSince: HostState['asked'],
-    delaysSince: HostState['delays'],
-  ): HostState => ({
+  const describe = (askedSince: HostState['asked']): HostState => ({
     taken: quotas.taken(),
     running: ownRunning(),
     asked: askedSince,
-    delays: delaysSince,
     orders: duty().describe(),
     seen: seen(),
     watches: watched(),
@@ -177,12 +169,11 @@
   };
 
   return {
-    greet: (link) => send(link, describe({}, {})),
+    greet: (link) => send(link, describe({})),
     tell: (links) => {
       choosePrimary();
-      const state = describe(asked, delayed);
+      const state = describe(asked);
       asked = {};
-      delayed = {};
       // A host that gets summaries learns nothing more from this host's own state.
       links.filter(({ peer }) => !reliesOnThis(peer.host)).forEach((link) => send(link, state));
     },
@@ -192,9 +183,6 @@
       states.set(peer.host, { body: state, since: startSlowStopwatch(clock) });
       totals.set(peer.host, state.running);
       Object.entries(state.asked).forEach(([model, credit]) => demand.note(model, credit));
-      Object.entries(state.delays).forEach(([model, [answers, delays]]) =>
-        demand.noteDelays(model, answers, delays),
-      );
       duty().hear(peer.host, state.orders);
       sources().forEach((source) => source.hear(link, state.seen[source.kind] ?? 0));
       if (state.summaries) summarize(link, state.summaries);
@@ -212,11 +200,6 @@
       asked[model] = (asked[model] ?? 0) + credit;
       demand.note(model, credit);
     },
-    noteDelays: (model, answers, delays) => {
-      const [answersBefore, delaysBefore] = delayed[model] ?? [0, 0];
-      delayed[model] = [answersBefore + answers, delaysBefore + delays];
-      demand.noteDelays(model, answers, delays);
-    },
     forget: (host) => {
       states.delete(host);
       summaries.delete(host);
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -43,8 +43,6 @@
   readonly running: RunningRequests;
   /** Credit asked for since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
-  /** First bytes of answers since the last state, by model. */
-  readonly delays: Readonly<Record<string, AnswerDelays>>;
   /** The host's lease to give orders, if it holds it or held it last. */
   readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
@@ -55,9 +53,6 @@
   readonly summaries?: SummaryRate;
 }
 
-/** How many answers began, and what that took as parts of their objectives, together. */
-export type AnswerDelays = readonly [answers: number, delays: number];
-
 /** How often a host needs the summaries of a hub. */
 export const SUMMARY_RATE = {
   /** At each state: the host counts on this hub. */
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -72,8 +72,6 @@
 const SOON_MILLISECONDS = 500;
 /** Time before the first orders in which the servers are asked what they hold. */
 const LEARN_MILLISECONDS = 300;
-/** Time in which a new copy shows what it relieves. */
-const RELIEF_MILLISECONDS = 2000;
 const WINDOW_MILLISECONDS = 5000;
 /** Loads that the weight store serves at full speed. */
 const COLD_LOADS_AT_ONCE = 4;
@@ -183,17 +181,11 @@
         running: running(entry.id),
         models: [...models.keys()],
       })),
-      {
-        isLoading: (model) =>
-          usable.some(
-            ({ underWay, entry, loadedAt }) =>
-              underWay?.order.model === model ||
-              starting.get(entry.id)?.model === model ||
-              clock.monotonic() - (loadedAt.get(model) ?? -Infinity) < RELIEF_MILLISECONDS,
-          ),
-        delayOf: (model) => (demand.creditPerSecond(model) < BUSY_RATE ? 0 : demand.delayOf(model)),
-        rateOf: demand.creditPerSecond,
-      },
+      (model) =>
+        usable.some(
+          ({ underWay, entry }) =>
+            underWay?.order.model === model || starting.get(entry.id)?.model === model,
+        ),
     );
 
   /** Busy models that nobody waits for: they are wanted as soon as their last server leaves. */
@@ -245,7 +237,6 @@
       wants: missing,
       creditPerSecond: demand.creditPerSecond,
       idleMilliseconds: demand.idleMilliseconds,
-      delayOf: demand.delayOf,
       replicas: replicaNeeds(usable, engine),
       ...coldLoads(engine),
     });
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -51,8 +51,6 @@
   /** Credit lost each second while a model is on no server. */
   readonly creditPerSecond: (model: string) => number;
   readonly idleMilliseconds: (model: string) => number;
-  /** Mean time until answers of a model begin, as a part of their objective. */
-  readonly delayOf?: (model: string) => number;
   /** Loads out of the weight store that may begin now. */
   readonly coldLoads: number;
   /** Milliseconds until another one may begin once these are used up. */
@@ -89,15 +87,8 @@
  * read between the tokens of the others long before the slots are taken.
  */
 const CROWDED_PART = 1 / 4;
-/** Part of the objective that first bytes take on average where a copy may go again. */
-const RELIEVED_PART = 0.3;
 /** Time until another copy must be there, in milliseconds; sorts it among the wants. */
 const REPLICA_MILLISECONDS = 1000;
-/**
- * Requests a second from which on a model is on two servers: loaded anew after the end of its only
- * one, out of the weight store, it would keep dozens of requests waiting.
- */
-const TWO_COPIES_RATE = 2;
 /** Delay that a request which is not served counts as, in milliseconds. */
 const MISSED_MILLISECONDS = 6000;
 /** Delay that another copy spares a request which it takes over, in milliseconds. */
@@ -143,11 +134,6 @@
   return Math.max(2, slots * CROWDED_PART);
 }
 
-/** Copies that a model keeps, by the requests for it each second. */
-export function leastCopies(rate: number): number {
-  return rate < TWO_COPIES_RATE ? 1 : 2;
-}
-
 function megabytesOf(profile: EngineProfile, { name, adapters }: PlannedModel): number {
   const model = profile.models.get(name);
   if (!model) return profile.weightsMegabytes;
@@ -175,7 +161,7 @@
  */
 export function planLoads(input: PlanInput): readonly PlannedLoad[] {
   const { profile, servers, wants, replicas = [], creditPerSecond, idleMilliseconds } = input;
-  const { coldWaitMilliseconds = Infinity, coldLoadsAtOnce = 1, delayOf = () => 0 } = input;
+  const { coldWaitMilliseconds = Infinity, coldLoadsAtOnce = 1 } = input;
   const occupancy = new Map<string, Occupancy>(
     servers.map((server) => [
       server.id,
@@ -199,9 +185,7 @@
     const recency = Math.max(0, 1 - idleMilliseconds(name) / RECENT_MILLISECONDS) * RECENT_CREDIT;
     const count = copies.get(name) ?? 1;
     const left = (runningOf.get(name) ?? 0) / Math.max(1, count - 1);
-    const relieves = left >= crowded || delayOf(name) > RELIEVED_PART;
-    const needed = relieves || count <= leastCopies(creditPerSecond(name));
-    const spare = count > 1 && !needed ? SPARE_PART : 1;
+    const spare = count > 1 && left < crowded ? SPARE_PART : 1;
     const rate = creditPerSecond(name) / count;
     return ((wanted.has(name) ? rate * 2 + 1 : rate) + recency) * spare;
   };
--- a/packages/loading/src/replicas.ts
+++ b/packages/loading/src/replicas.ts
@@ -1,5 +1,5 @@
 /** Which models need another copy, by the work that their servers have. */
-import { crowdedRequests, leastCopies, type ReplicaNeed } from './plan.js';
+import { crowdedRequests, type ReplicaNeed } from './plan.js';
 
 /** A server with its running requests. */
 export interface LoadedServer {
@@ -9,34 +9,19 @@
   readonly models: readonly string[];
 }
 
-/** Part of the objective that first bytes may take on average before a model gets another copy. */
-const LATE_PART = 0.5;
-
 const totalOf = (server: LoadedServer): number =>
   [...server.running.values()].reduce((sum, count) => sum + count, 0);
 
 const isCrowded = (server: LoadedServer): boolean => totalOf(server) >= crowdedRequests(server);
 
-/** What is known of models beside where they run. */
-export interface ModelSigns {
-  /** A copy of the model is on its way, or has just come. */
-  readonly isLoading?: (model: string) => boolean;
-  /** Mean time until answers of a model begin, as a part of their objective. */
-  readonly delayOf?: (model: string) => number;
-  /** Requests a second. */
-  readonly rateOf?: (model: string) => number;
-}
-
 /**
- * Finds the models that need another copy: those all of whose servers are crowded and that cause
- * the most of it, those whose answers begin late, and those that are asked for so often that the
- * end of their only server would keep many waiting.
+ * Finds the models all of whose servers are crowded and that cause the most of it.
+ * @param isLoading whether a copy of the model is on its way
  */
 export function findReplicaNeeds(
   servers: readonly LoadedServer[],
-  signs: ModelSigns = {},
+  isLoading: (model: string) => boolean,
 ): readonly ReplicaNeed[] {
-  const { isLoading = () => false, delayOf = () => 0, rateOf = () => 0 } = signs;
   const holders = new Map<string, LoadedServer[]>();
   servers.forEach((server) =>
     server.models.forEach((model) => {
@@ -50,18 +35,13 @@
   const hottest = new Set(servers.filter(isCrowded).flatMap((server) => hottestOf(server) ?? []));
   const crowds = (model: string): boolean =>
     hottest.has(model) && (holders.get(model) ?? []).every(isCrowded);
-  const needing = new Set([...hottest].filter(crowds));
-  holders.forEach((copies, model) => {
-    if (delayOf(model) > LATE_PART) needing.add(model);
-    if (copies.length < leastCopies(rateOf(model))) needing.add(model);
-  });
-  return [...needing]
+  return [...hottest]
+    .filter(crowds)
     .filter((model) => !isLoading(model))
     .map((model) => {
       const copies = holders.get(model) ?? [];
       const running = copies.reduce((sum, { running: by }) => sum + (by.get(model) ?? 0), 0);
-      const taken = Math.max(running, rateOf(model)) / (copies.length + 1);
-      return { model, count: taken };
+      return { model, count: running / (copies.length + 1) };
     })
     .sort((a, b) => b.count - a.count);
 }
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,7 +1,6 @@
 /** The attempts of one request: choosing servers, sending, judging what went wrong. */
 import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { isRefusal, messageOf, type Refusal } from '@bulrushspar/errors';
-import type { Demand } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import { sendUntilAnswered, type Relay, type Suspects } from '@bulrushspar/routing';
 import type { RetryBudget } from '@bulrushspar/shares';
@@ -60,7 +59,6 @@
   readonly servers: ServerStates;
   readonly waits: ModelWaits;
   readonly budget: RetryBudget;
-  readonly demand: Pick<Demand, 'noteDelays'>;
   readonly suspects: Suspects;
   readonly send: SendCall<SomeCall>;
   /** Has an adapter loaded. @returns whether the server has it now */
@@ -94,7 +92,7 @@
   options: AttemptsOptions<SomeCall>,
 ): Attempts<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, budget, demand, suspects, send, ensureAdapter } = options;
+  const { waits, budget, suspects, send, ensureAdapter } = options;
 
   const choose = ({ admitted, call, tried }: Work<SomeCall>, allowTried: boolean) =>
     chooseHolder({
@@ -207,30 +205,9 @@
     });
   };
 
-  /** Notes once how long the first byte of an answer took, or how long it has not come. */
-  const watchDelay = ({ call, admitted }: Work<SomeCall>, sinceSent: Stopwatch) => {
-    const { objectiveMilliseconds } = admitted.route;
-    let noted = call.need === undefined;
-    const note = (): void => {
-      if (!noted) demand.noteDelays(call.need!.model, 1, sinceSent() / objectiveMilliseconds);
-      noted = true;
-    };
-    return {
-      onData: note,
-      onEnd: () => {
-        if (sinceSent() > objectiveMilliseconds) note();
-      },
-    };
-  };
-
-  const attempt = async (
-    work: Work<SomeCall>,
-    state: ServerState,
-    sinceSent: Stopwatch,
-  ): Promise<void> => {
+  const attempt = async (work: Work<SomeCall>, state: ServerState): Promise<void> => {
     const { call, admitted, relay, signal } = work;
     const { route } = admitted;
-    const delay = watchDelay(work, sinceSent);
     const ended = new AbortController();
     const stopWatching = watchSilence(work, ended);
     const sink = relay.openSink();
@@ -253,16 +230,12 @@
             noteLoad(state, head);
             sink.onHead(head, flow);
           },
-          onData: (chunk) => {
-            delay.onData();
-            sink.onData(chunk);
-          },
+          onData: sink.onData,
         },
         AbortSignal.any([signal, ended.signal]),
       );
       relay.finish();
     } finally {
-      delay.onEnd();
       stopWatching();
       count(state, call.need?.model, -1);
     }
@@ -345,8 +318,8 @@
         work.tried.add(state.entry.id);
         return { state, sinceSent: startStopwatch(clock) };
       },
-      send: async ({ state, sinceSent }) => {
-        await attempt(work, state, sinceSent);
+      send: async ({ state }) => {
+        await attempt(work, state);
         servers.noteOutcome(state, false);
         return state;
       },
