--- a/packages/node/test/path.feature
+++ b/packages/node/test/path.feature
@@ -88,6 +88,7 @@
   Scenario: A second signal ends a node at once
     Given the caller streams 2000 tokens from node 1
     When node 1 receives SIGTERM
+    And node 1 answers that it is not ready
     And node 1 receives SIGTERM
     Then node 1 ends with exit code 4
 
--- a/packages/node/test/path.ts
+++ b/packages/node/test/path.ts
@@ -11,6 +11,7 @@
 import type { EngineFault } from '@bulrushspar/standins';
 
 const KEY = 'secret-of-alpha';
+const SERVICE_UNAVAILABLE = 503;
 
 const countWords = (text: string): number => {
   if (!text.startsWith('data: ')) {
@@ -176,6 +177,16 @@
   this.fleet.nodes[node - 1]!.signal('SIGTERM');
 });
 
+// Two signals that are pending at the same time are delivered as one.
+When('node {int} answers that it is not ready', function stopping(this: FleetWorld, node: number) {
+  const { url } = this.fleet.nodes[node - 1]!;
+  return waitUntil(`node ${node} is not ready`, async () => {
+    const answer = await fetch(`${url}/readyz`).catch(() => undefined);
+    await answer?.arrayBuffer();
+    return answer?.status === SERVICE_UNAVAILABLE;
+  });
+});
+
 Then('the answer is complete with {int} words', function whole(this: FleetWorld, words: number) {
   assert.ok(this.answer.isComplete, this.answer.text);
   assert.equal(countWords(this.answer.text), words);
