--- a/packages/catalogue/src/index.ts
+++ b/packages/catalogue/src/index.ts
@@ -15,6 +15,7 @@
 export { createRouteTable, pickWeightedShare, type RouteTable } from './routes.js';
 export {
   createServerDirectory,
+  type ServerDeparture,
   type ServerDirectory,
   type ServerDirectoryOptions,
   type ResidentModel,
--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -25,6 +25,13 @@
   readonly onDisk: readonly string[];
 }
 
+/** Notice that a server is leaving, from the server itself or from another host. */
+export interface ServerDeparture {
+  readonly id: string;
+  /** Start of the server's process, as in its entry; a later process is not leaving. */
+  readonly born: number;
+}
+
 /** Current servers by id, each with its newest entry. */
 export type ServerView = ReadonlyMap<string, ServerEntry>;
 
@@ -34,6 +41,11 @@
   update(entries: ServerView): void;
   /** Records that an outage of the list has just ended, so that live servers may still be missing. */
   recordOutage(): void;
+  /**
+   * Records that a server is leaving, whatever its listed entry says, until it starts anew.
+   * @returns whether this was not known
+   */
+  recordLeaving(departure: ServerDeparture): boolean;
   current(): ServerView;
 }
 
@@ -49,6 +61,9 @@
   readonly outageGraceMilliseconds?: number;
 }
 
+/** Number of departures from which those of servers that are not listed any more are dropped. */
+const MAX_DEPARTURES = 1000;
+
 const isNotOlder = (entry: ServerEntry, known: ServerEntry | undefined): boolean =>
   known === undefined || entry.born >= known.born;
 
@@ -58,6 +73,13 @@
   let servers = new Map<string, ServerEntry>();
   let listed: ServerView = new Map();
   let sinceOutage: Stopwatch | undefined;
+  /** Newest process of each server that is known to be leaving: its start, by server. */
+  const leavingBorn = new Map<string, number>();
+
+  const applyDeparture = (entry: ServerEntry): ServerEntry =>
+    !entry.leaving && entry.born <= (leavingBorn.get(entry.id) ?? -Infinity)
+      ? { ...entry, leaving: true }
+      : entry;
 
   const isWithinOutageGrace = (): boolean =>
     sinceOutage !== undefined && sinceOutage() < outageGraceMilliseconds;
@@ -66,11 +88,16 @@
     const merged = new Map<string, ServerEntry>();
     listed.forEach((entry, id) => {
       const known = servers.get(id);
-      merged.set(id, isNotOlder(entry, known) ? entry : known!);
+      merged.set(id, applyDeparture(isNotOlder(entry, known) ? entry : known!));
     });
     if (isWithinOutageGrace()) {
       servers.forEach((entry, id) => {
-        if (!merged.has(id)) merged.set(id, entry);
+        if (!merged.has(id)) merged.set(id, applyDeparture(entry));
+      });
+    }
+    if (leavingBorn.size > MAX_DEPARTURES) {
+      leavingBorn.forEach((_born, id) => {
+        if (!merged.has(id)) leavingBorn.delete(id);
       });
     }
     servers = merged;
@@ -86,6 +113,12 @@
       sinceOutage = startMonotonicStopwatch(clock);
       clock.after(outageGraceMilliseconds + 1, mergeListed);
     },
+    recordLeaving: ({ id, born }) => {
+      if (born <= (leavingBorn.get(id) ?? -Infinity)) return false;
+      leavingBorn.set(id, born);
+      mergeListed();
+      return true;
+    },
     current: () => servers,
   };
 }
--- a/packages/catalogue/test/catalogue.feature
+++ b/packages/catalogue/test/catalogue.feature
@@ -28,3 +28,19 @@
       | shows "s1@9 s2@20"                                 | s1@10 s2@20 |
       | is back after an outage and shows "s1@10"          | s1@10 s2@20 |
       | is back after an outage and shows "s1@10" for 3 s  | s1@10       |
+
+  Scenario Outline: A server that has told that it is leaving stays so until it starts anew
+    Given a directory of servers "s1@10 s2@20"
+    When server "<told>" is known to be leaving
+    And the list <change>
+    Then the leaving servers are "<leaving>"
+
+    Examples:
+      | told  | change                                    | leaving |
+      | s1@10 | shows "s1@10 s2@20"                       | s1@10   |
+      | s1@10 | shows "s2@20"                             |         |
+      | s1@10 | shows "s1@11 s2@20"                       |         |
+      | s1@10 | shows "s1@9 s2@20"                        | s1@10   |
+      | s1@12 | shows "s1@10 s2@20"                       | s1@10   |
+      | s3@30 | shows "s1@10 s3@30"                       | s3@30   |
+      | s1@10 | is back after an outage and shows "s2@20" | s1@10   |
--- a/packages/catalogue/test/catalogue.ts
+++ b/packages/catalogue/test/catalogue.ts
@@ -95,3 +95,14 @@
   const held = [...this.directory.current().values()].map(({ id, born }) => `${id}@${born}`);
   assert.equal(held.sort().join(' '), list);
 });
+
+When('server {string} is known to be leaving', function record(this: CatalogueWorld, text: string) {
+  const [{ id, born }] = [...parseEntries(text).values()] as [ServerEntry];
+  assert(this.directory.recordLeaving({ id, born }));
+  assert(!this.directory.recordLeaving({ id, born }), 'a second notice is not new');
+});
+
+Then('the leaving servers are {string}', function check(this: CatalogueWorld, list: string) {
+  const leaving = [...this.directory.current().values()].filter((entry) => entry.leaving);
+  assert.equal(leaving.map(({ id, born }) => `${id}@${born}`).join(' '), list);
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,12 @@
 } from '@bulrushspar/catalogue';
 import { runPeriodically, startMonotonicStopwatch, type Clock } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
-import { createDemandTracker, type EngineControl, type Outlook } from '@bulrushspar/loading';
+import {
+  createDemandTracker,
+  ORDER_OUTCOME,
+  type EngineControl,
+  type Outlook,
+} from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
 import { createSuspectTracker } from '@bulrushspar/routing';
@@ -20,6 +25,7 @@
   type Call,
   type SendCall,
   type RequestHandler,
+  type ServerNotice,
 } from '@bulrushspar/serving';
 import { createRetryBudget } from '@bulrushspar/shares';
 import type { Incarnation, ObjectStore, ObjectView } from '@bulrushspar/store';
@@ -32,6 +38,7 @@
   MESSAGE,
   type AdapterMessage,
   type ChangesMessage,
+  type DepartureMessage,
   type UnloadingMessage,
   type WantsMessage,
 } from './messages.js';
@@ -75,7 +82,13 @@
   readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
   /** @returns undefined if the entry does not describe a usable server */
   readonly decodeServer: (name: string, value: unknown) => ServerEntry | undefined;
-  readonly engineControl: EngineControl;
+  /**
+   * Creates the client for reports and orders.
+   * @param onNotice called with what a server tells about itself
+   */
+  readonly createEngineControl: (
+    onNotice: (server: ServerEntry, notice: ServerNotice) => void,
+  ) => EngineControl;
   readonly send: SendCall<SomeCall>;
   readonly bounds: FleetBounds;
   /** The fleet starts for the first time. */
@@ -160,6 +173,33 @@
     },
   });
 
+  /** Applies what a server has told about itself with an answer to this host. */
+  const applyNotice = ({ id, born }: ServerEntry, notice: ServerNotice): void => {
+    const { isLeaving, closedMilliseconds } = notice;
+    if (isLeaving && directory.recordLeaving({ id, born })) {
+      logger.info('server has told that it is leaving', { server: id });
+      fleet.broadcast(MESSAGE.DEPARTURE, { id, born } satisfies DepartureMessage);
+    }
+    if (closedMilliseconds === undefined) return;
+    if (servers.closedMilliseconds(id) === 0)
+      logger.info('server accepts nothing for a time', { server: id, closedMilliseconds });
+    servers.close(id, closedMilliseconds);
+  };
+
+  /** Sends reports and orders, except to servers that accept nothing from this host for a time. */
+  const engineControl: EngineControl = options.createEngineControl(applyNotice);
+  const pausingControl: EngineControl = {
+    report: async (server) => {
+      if (servers.closedMilliseconds(server.id) > 0)
+        throw new Error(`server ${server.id} accepts nothing from this host for a time`);
+      return engineControl.report(server);
+    },
+    order: async (server, order) =>
+      servers.closedMilliseconds(server.id) > 0
+        ? ORDER_OUTCOME.REJECTED
+        : engineControl.order(server, order),
+  };
+
   const applyConfiguration = (view: ObjectView<unknown>): void => {
     const next = options.decodeConfiguration(view);
     if (!next || (configuration && next.version <= configuration.version)) return;
@@ -225,7 +265,7 @@
     clock,
     logger,
     self,
-    control: options.engineControl,
+    control: pausingControl,
     demand,
     configuration: () => configuration,
     runningByModel: (server) => gossip.runningByModel(server),
@@ -279,6 +319,7 @@
     commander: leadership.commander,
     suspects,
     servers,
+    directory,
     receiveOutlook,
   });
 
@@ -343,6 +384,7 @@
     budget: retryBudget,
     suspects,
     send: options.send,
+    onNotice: applyNotice,
     ensureAdapter,
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
   });
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -1,4 +1,5 @@
 /** Handlers for the messages from other hosts. */
+import type { ServerDirectory } from '@bulrushspar/catalogue';
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
 import type { SuspectTracker } from '@bulrushspar/routing';
@@ -10,6 +11,7 @@
   MESSAGE,
   type AdapterMessage,
   type ChangesMessage,
+  type DepartureMessage,
   type FleetSummary,
   type ForwardMessage,
   type ForwardedRequest,
@@ -32,13 +34,23 @@
   readonly commander: LoadCoordinator;
   readonly suspects: SuspectTracker;
   readonly servers: ServerStates;
+  readonly directory: ServerDirectory;
   readonly receiveOutlook: (outlook: readonly Outlook[]) => void;
 }
 
 /** Creates the message handlers of one host. */
 export function createHandlers(options: HandlersOptions): PeerHandlers {
-  const { fleet, gossip, forwarding, followers, commander, suspects, servers, receiveOutlook } =
-    options;
+  const {
+    fleet,
+    gossip,
+    forwarding,
+    followers,
+    commander,
+    suspects,
+    servers,
+    directory,
+    receiveOutlook,
+  } = options;
 
   const followerOf = (kind: string): KindFollower | undefined =>
     followers.find((follower) => follower.kind === kind);
@@ -78,6 +90,12 @@
       servers.recordUnloadOrder(server, model);
       fleet().relay(MESSAGE.UNLOADING, body as UnloadingMessage, from.host);
     },
+    [MESSAGE.DEPARTURE]: (body, from) => {
+      const departure = body as DepartureMessage;
+      // Several hosts may have told the same; each host passes it on once.
+      if (directory.recordLeaving(departure))
+        fleet().relay(MESSAGE.DEPARTURE, departure, from.host);
+    },
     [MESSAGE.CHANGES]: (body, from) => {
       const message = body as ChangesMessage;
       const link = fleet().links.linkTo(from.host);
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,3 +1,4 @@
+import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { SuspectUpdate } from '@bulrushspar/routing';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
@@ -23,6 +24,8 @@
   ADAPTER: 'adapter',
   /** A server is about to unload a model; sent by the leader. */
   UNLOADING: 'unloading',
+  /** A server has told the sender that it is leaving. */
+  DEPARTURE: 'departure',
   /** Changes to the objects of a kind; sent by the hosts that watch the store. */
   CHANGES: 'changes',
   /** Requests all objects of a kind. */
@@ -136,6 +139,9 @@
   readonly model: string;
 }
 
+/** Body of {@link MESSAGE.DEPARTURE}. */
+export type DepartureMessage = ServerDeparture & Relayed;
+
 /** Body of {@link MESSAGE.CHANGES}. */
 export interface ChangesMessage extends Relayed {
   readonly kind: string;
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,4 +1,5 @@
 /** Attempts of one request: selects servers, sends the request and handles failures. */
+import type { ServerEntry } from '@bulrushspar/catalogue';
 import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -14,6 +15,7 @@
   type ModelRequirements,
   type Reply,
   type SendCall,
+  type ServerNotice,
 } from './call.js';
 import { selectServer, promptPartKey } from './choose.js';
 import type { ServingMetrics } from './metrics.js';
@@ -22,6 +24,7 @@
   createTargetFailedRefusal,
   createNoAdapterRefusal,
   createNoServerRefusal,
+  createServersClosedRefusal,
   createWaitRefusal,
 } from './refusals.js';
 import { WAIT_END, type ModelWaits } from './waits.js';
@@ -66,6 +69,8 @@
   readonly budget: RetryBudget;
   readonly suspects: SuspectTracker;
   readonly send: SendCall<SomeCall>;
+  /** Called with what a server tells about itself, before its answer is passed on. */
+  readonly onNotice?: (server: ServerEntry, notice: ServerNotice) => void;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
 }
@@ -103,7 +108,7 @@
   options: AttemptRunnerOptions<SomeCall>,
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, budget, suspects, send, ensureAdapter } = options;
+  const { waits, budget, suspects, send, ensureAdapter, onNotice = () => {} } = options;
 
   const trySelectServer = (
     { admitted, call, triedServers }: ActiveRequest<SomeCall>,
@@ -165,14 +170,37 @@
     return true;
   };
 
+  /**
+   * Returns the time until the first of the servers that could run the request accepts it again;
+   * undefined if none of them is closed to this host.
+   */
+  const closedMilliseconds = ({ admitted, call }: ActiveRequest<SomeCall>): number | undefined => {
+    const { requirements } = call;
+    const remaining = servers
+      .ofService(admitted.service)
+      .filter((state) =>
+        requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving,
+      )
+      .map(({ entry }) => servers.closedMilliseconds(entry.id));
+    const earliest = Math.min(...remaining);
+    return remaining.length > 0 && earliest > 0 ? earliest : undefined;
+  };
+
   /** Selects an untried server or, if there is none, one that can receive the request again. */
   const selectNextServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const untried = trySelectServer(request, false);
     if (untried) return untried;
     const tried = trySelectServer(request, true);
-    if (!tried) throw createNoServerRefusal(request.admitted.service);
+    if (!tried) {
+      const { service } = request.admitted;
+      const closed = closedMilliseconds(request);
+      throw closed === undefined
+        ? createNoServerRefusal(service)
+        : createServersClosedRefusal(service, closed);
+    }
     await clock.delay(SAME_SERVER_RETRY_DELAY_MILLISECONDS);
-    return tried;
+    // The server may have closed to this host meanwhile.
+    return servers.closedMilliseconds(tried.entry.id) > 0 ? selectNextServer(request) : tried;
   };
 
   const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
@@ -263,6 +291,7 @@
           onHead: (head, flow) => {
             cancelSilenceTimeout();
             recordLoad(state, head);
+            if (head.notice) onNotice(state.entry, head.notice);
             sink.onHead(head, flow);
           },
           onData: sink.onData,
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -54,6 +54,14 @@
   readonly slots: number;
 }
 
+/** What a server tells this host about itself with an answer. */
+export interface ServerNotice {
+  /** Whether the server is leaving and must receive no new requests. */
+  readonly isLeaving: boolean;
+  /** Time for which the server accepts nothing from this host, if it said so. */
+  readonly closedMilliseconds?: number;
+}
+
 /** Status and headers of an answer, with what the platform's headers state about it. */
 export interface AnswerHead extends RelayedHead {
   /** Whether the server states that it did not run the request. */
@@ -65,6 +73,7 @@
   /** Id of the request that the answer belongs to, if the server sent one. */
   readonly callId?: string;
   readonly load?: ServerLoad;
+  readonly notice?: ServerNotice;
 }
 
 /** Receives an answer; throwing aborts the exchange with that error. */
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -86,6 +86,7 @@
     candidates,
     isEligible: (state) =>
       !excluded.has(state.entry.id) &&
+      state.closedUntil <= now &&
       (requirements ? selection.canServeModel(state, requirements.model) : !state.entry.leaving),
     isAvoided: ({ avoidUntil }) => avoidUntil > now,
     estimateCost: (state) =>
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -33,6 +33,7 @@
   type Reply,
   type SendCall,
   type ServerLoad,
+  type ServerNotice,
 } from './call.js';
 export {
   selectServer,
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -84,6 +84,14 @@
     NO_ROOM_RETRY_SECONDS,
   );
 
+/** Creates the refusal of a request whose servers all accept nothing from this host for a time. */
+export const createServersClosedRefusal = (service: string, milliseconds: number): Refusal =>
+  createNoCapacityRefusal(
+    503,
+    `all servers of service "${service}" that could run the request have asked for a pause`,
+    milliseconds / MILLISECONDS_PER_SECOND,
+  );
+
 /** Creates the refusal of a request that no server of its service accepts. */
 export const createNoServerRefusal = (service: string): Refusal =>
   createNoCapacityRefusal(
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -18,6 +18,8 @@
   reportedLoad?: ServerLoad & { readonly at: number };
   /** Times of adapter loads that the entry may not list yet, by key "model/adapter". */
   readonly adapterLoadTimes: Map<string, number>;
+  /** Time on the monotonic clock before which the server accepts nothing from this host. */
+  closedUntil: number;
   /** Time on the monotonic clock when the server was first reported as leaving. */
   leavingSince: number | undefined;
   /** Times of the orders to unload a model, by model. */
@@ -36,6 +38,10 @@
   recordOutcome(state: ServerState, failed: boolean): void;
   /** Excludes a server from selection for a time unless there is no other. */
   avoid(state: ServerState, milliseconds: number): void;
+  /** Excludes a server from selection for a time, as it has asked. */
+  close(id: string, milliseconds: number): void;
+  /** @returns the time for which a server accepts nothing from this host; 0 if it does */
+  closedMilliseconds(id: string): number;
   hasAdapter(state: ServerState, model: string, adapter: string): boolean;
   /** Records that a server was ordered to unload a model. */
   recordUnloadOrder(id: string, model: string): void;
@@ -72,6 +78,7 @@
     },
     failureRate: 0,
     avoidUntil: 0,
+    closedUntil: -Infinity,
     adapterLoadTimes: new Map(),
     leavingSince: undefined,
     unloadOrderTimes: new Map(),
@@ -125,6 +132,12 @@
       const changed = state;
       changed.avoidUntil = clock.monotonic() + milliseconds;
     },
+    close: (id, milliseconds) => {
+      const state = states.get(id);
+      if (!state) return;
+      state.closedUntil = Math.max(state.closedUntil, clock.monotonic() + milliseconds);
+    },
+    closedMilliseconds: (id) => Math.max(0, (states.get(id)?.closedUntil ?? 0) - clock.monotonic()),
     recordUnloadOrder: (id, model) => {
       states.get(id)?.unloadOrderTimes.set(model, clock.monotonic());
     },
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -104,3 +104,36 @@
     And a workspace that may use 1 request
     When the same request is served 2 times
     Then the caller gets 429 with retry-after
+
+  Scenario Outline: A server that accepts nothing for a time receives nothing until it ends
+    Given a <kind> route
+    And servers that one after another <behave>
+    When the same request is served <times> times, one each 500 ms
+    Then the caller gets <answer>
+    And <sends> servers received it
+
+    Examples: another server accepts the requests
+      | kind       | behave                             | times | answer    | sends |
+      | once       | reject for 3 s                     | 5     | 200 whole | 6     |
+      | idempotent | reject for 3 s, reject for 3 s     | 5     | 200 whole | 7     |
+
+    Examples: no server accepts them: refused at once, then served again
+      | kind       | behave                                         | times | answer               | sends |
+      | once       | reject for 3 s, reject for 3 s, reject for 3 s | 1     | 503 with retry-after | 3     |
+      | once       | reject for 3 s, reject for 3 s, reject for 3 s | 5     | 503 with retry-after | 3     |
+      | once       | reject for 3 s, reject for 3 s, reject for 3 s | 7     | 200 whole            | 4     |
+      | resumable  | reject for 3 s, reject for 3 s, reject for 3 s | 5     | 503 with retry-after | 3     |
+
+  Scenario: The caller is told when the first of the servers accepts requests again
+    Given a once route
+    And servers that one after another reject for 3 s, reject for 2 s, reject for 4 s
+    When the same request is served 2 times, one each 500 ms
+    Then the caller is asked to come back after 1400 to 1600 ms
+    And it took at most 20 ms
+
+  Scenario: A server that tells that it is leaving receives no further request
+    Given a once route
+    And servers that one after another answer and leave, answer
+    When the same request is served 9 times
+    Then the server that left received 1 request
+    And the caller gets 200 whole
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -34,6 +34,9 @@
   stopsAfterMilliseconds: number | undefined;
   reply: RecordedReply;
   elapsedMilliseconds: number;
+  /** Number of requests that each server received. */
+  sendsByServer: Map<string, number>;
+  departedServer: string | undefined;
 }
 
 interface RecordedReply extends Reply {
@@ -124,11 +127,17 @@
   if (behaviour === 'stream') stream(sink, attempt, 5, false);
   else if (behaviour === 'are cut') throw cut(EXCHANGE_PROGRESS.SENT);
   else if (behaviour === 'are unreachable') throw cut(EXCHANGE_PROGRESS.NOT_SENT);
+  else if (behaviour.startsWith('reject for')) {
+    const closedMilliseconds = Number(/\d+/.exec(behaviour)![0]) * 1000;
+    const notice = { isLeaving: false, closedMilliseconds };
+    sink.onHead(head({ status: 503, notRun: true, notice }), flow);
+  } else if (behaviour === 'answer and leave')
+    sink.onHead(head({ notice: { isLeaving: true } }), flow);
   else if (behaviour === 'reject') sink.onHead(head({ status: 503, notRun: true }), flow);
   else if (behaviour === 'answer another request') sink.onHead(head({ callId: 'call-0' }), flow);
   else if (behaviour === 'answer unsigned') sink.onHead(head({ signed: false }), flow);
   else sink.onHead(head({ status: behaviour === 'fail' ? 500 : 200 }), flow);
-  if (behaviour === 'answer' || behaviour === 'fail') sink.onData(Buffer.from('whole'));
+  if (['answer', 'answer and leave', 'fail'].includes(behaviour)) sink.onData(Buffer.from('whole'));
 }
 
 const rejectOnAbort = (signal: AbortSignal): Promise<never> =>
@@ -217,7 +226,18 @@
     suspects: createSuspectTracker({ clock }),
     ensureAdapter: () => Promise.resolve(true),
     getStoppingRefusal: () => undefined,
+    onNotice: ({ id }, { isLeaving, closedMilliseconds }) => {
+      if (closedMilliseconds !== undefined) states.close(id, closedMilliseconds);
+      if (!isLeaving) return;
+      changed.departedServer = id;
+      const entries = [...states.all()].map((state) => state.entry);
+      states.update(
+        new Map(entries.map((known) => [known.id, { ...known, leaving: known.id === id }])),
+      );
+    },
     send: async (_call, attempt, sink, signal) => {
+      const { id } = attempt.server;
+      changed.sendsByServer.set(id, (changed.sendsByServer.get(id) ?? 0) + 1);
       const behaviour = changed.behaviours[changed.sends] ?? 'answer';
       changed.sends += 1;
       changed.activeSends += 1;
@@ -265,6 +285,8 @@
     clock: createManualClock(),
     outlook: undefined,
     stopsAfterMilliseconds: undefined,
+    sendsByServer: new Map(),
+    departedServer: undefined,
     ...empty,
   });
 });
@@ -318,12 +340,14 @@
   this.quota = count;
 });
 
-async function serveTimes(world: ServingWorld, times: number): Promise<void> {
+async function serveTimes(world: ServingWorld, times: number, pauseMilliseconds = 0) {
   const serve = createTestHandler(world);
   for (let count = 0; count < times; count += 1) {
+    /* eslint-disable no-await-in-loop -- each request starts after the previous one */
+    if (count > 0) await world.clock.advance(pauseMilliseconds);
     Object.assign(world, { reply: createReply() });
-    // eslint-disable-next-line no-await-in-loop -- each request starts after the previous one
     await advanceUntilDone(world, serve(createCall(world), world.reply));
+    /* eslint-enable no-await-in-loop */
   }
 }
 
@@ -338,6 +362,13 @@
   },
 );
 
+When(
+  'the same request is served {int} times, one each {int} ms',
+  async function often(this: ServingWorld, times: number, milliseconds: number) {
+    await serveTimes(this, times, milliseconds);
+  },
+);
+
 When(
   'the caller of a request disconnects after {int} ms',
   async function leave(this: ServingWorld, milliseconds: number) {
@@ -373,3 +404,18 @@
 Then('no server is still running it', function check(this: ServingWorld) {
   assert.equal(this.activeSends, 0);
 });
+
+Then(
+  'the caller is asked to come back after {int} to {int} ms',
+  function check(this: ServingWorld, least: number, most: number) {
+    const { retryAfter = 0 } = this.reply;
+    assert.ok(retryAfter >= least && retryAfter <= most, `${retryAfter} ms`);
+  },
+);
+
+Then(
+  'the server that left received {int} request',
+  function check(this: ServingWorld, count: number) {
+    assert.equal(this.sendsByServer.get(this.departedServer!), count);
+  },
+);
