--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -41,6 +41,11 @@
   update(entries: ServerView): void;
   /** Records that an outage of the list has just ended, so that live servers may still be missing. */
   recordOutage(): void;
+  /**
+   * Records that the list has come back from an older copy: servers that were leaving stay so, and
+   * live servers may still be missing.
+   */
+  recordRollback(): void;
   /**
    * Records that a server is leaving, whatever its listed entry says, until it starts anew.
    * @returns whether this was not known
@@ -104,14 +109,22 @@
     onChange(servers);
   };
 
+  const recordOutage = (): void => {
+    sinceOutage = startMonotonicStopwatch(clock);
+    clock.after(outageGraceMilliseconds + 1, mergeListed);
+  };
+
   return {
     update: (entries) => {
       listed = new Map(entries);
       mergeListed();
     },
-    recordOutage: () => {
-      sinceOutage = startMonotonicStopwatch(clock);
-      clock.after(outageGraceMilliseconds + 1, mergeListed);
+    recordOutage,
+    recordRollback: () => {
+      servers.forEach(({ id, born, leaving }) => {
+        if (leaving) leavingBorn.set(id, Math.max(born, leavingBorn.get(id) ?? -Infinity));
+      });
+      recordOutage();
     },
     recordLeaving: ({ id, born }) => {
       if (born <= (leavingBorn.get(id) ?? -Infinity)) return false;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -28,7 +28,13 @@
   type ServerNotice,
 } from '@bulrushspar/serving';
 import { createRetryBudget } from '@bulrushspar/shares';
-import type { Incarnation, ObjectStore, ObjectView } from '@bulrushspar/store';
+import {
+  createEraTracker,
+  type EraTracker,
+  type Incarnation,
+  type ObjectStore,
+  type ObjectView,
+} from '@bulrushspar/store';
 import { createFleet, type Fleet } from './fleet.js';
 import { createForwarding, type Forwarding } from './forward.js';
 import { createGossip } from './gossip.js';
@@ -76,10 +82,14 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly store: ObjectStore;
+  /** Era of the store, if it can be restored from an older copy. */
+  readonly eras?: EraTracker;
   /** Kinds of the platform's objects for the configuration and the servers. */
   readonly kinds: { readonly configuration: string; readonly servers: string };
   /** @returns undefined if there is no valid configuration */
   readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
+  /** @returns the version that the operators gave a stored configuration; 0 if it has none */
+  readonly rankConfiguration?: (value: unknown) => number;
   /** @returns undefined if the entry does not describe a usable server */
   readonly decodeServer: (name: string, value: unknown) => ServerEntry | undefined;
   /**
@@ -130,7 +140,8 @@
   options: EntryOptions<SomeCall>,
 ): Entry<SomeCall> {
   const { host, clock, logger, store, kinds, bounds, random = Math.random } = options;
-  const { onConfiguration = () => {}, onServers = () => {} } = options;
+  const { onConfiguration = () => {}, onServers = () => {}, rankConfiguration } = options;
+  const { eras = createEraTracker() } = options;
   const self: Incarnation = { host: host.name, incarnation: randomUUID() };
   const stopping = new AbortController();
   const releasing = new AbortController();
@@ -223,6 +234,7 @@
     store,
     clock,
     logger,
+    eras,
     countBetterRankedWatchers: (kind: string) => gossip.countBetterRankedWatchers(kind),
     onChanges: (message: ChangesMessage) => fleet.broadcast(MESSAGE.CHANGES, message),
   };
@@ -239,6 +251,7 @@
     ...followerOptions,
     kind: kinds.configuration,
     awaitsFirstView: awaitsHubView,
+    ...(rankConfiguration ? { rankOf: rankConfiguration } : {}),
     onView: applyConfiguration,
   });
   const serverFollower = createKindFollower({
@@ -270,6 +283,8 @@
     configuration: () => configuration,
     runningByModel: (server) => gossip.runningByModel(server),
     handoverMilliseconds: bounds.handoverMilliseconds,
+    eras,
+    isFirstStart: options.isFirstStart,
     canOthersReachStore: () => gossip.canOthersReachStore(),
     contentionRank: () => fleet.contentionRank(),
     onOutlook: (outlook, waiting) => {
@@ -335,6 +350,7 @@
     store,
     clock,
     logger,
+    random,
     handlers,
     onLink: (link) => {
       suspects.listUpdates().forEach((news) => link.send(MESSAGE.SUSPECT, news));
@@ -389,6 +405,15 @@
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
   });
 
+  eras.onChange((era) => {
+    logger.warn('the store has come back from an older copy', {
+      era,
+      configuration: configuration?.version,
+    });
+    directory.recordRollback();
+    fleet.recordRollback();
+  });
+
   const tasks = [
     configurationFollower.run(stopping.signal),
     serverFollower.run(stopping.signal),
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -20,6 +20,8 @@
   readonly links: FleetLinks;
   /** Replaces the records of all hosts. */
   updateHosts(view: ObjectView<unknown>): void;
+  /** Keeps the hosts whose records the store has lost until they have written them again. */
+  recordRollback(): void;
   /** Number of hosts that contend for the lease for orders before this one. */
   contentionRank(): number;
   /** Sends a message to all hosts; hubs relay it to hosts that are not linked to this one. */
@@ -37,6 +39,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly handlers: PeerHandlers;
+  readonly random?: () => number;
   readonly onLink: (link: Link) => void;
   readonly onLost: (host: string) => void;
   /** The host that sends the orders; it needs the states of all others. */
@@ -59,6 +62,11 @@
 /** Time for which a host's own record may be missing from the view; spans several pulls. */
 const MAX_UNLISTED_MILLISECONDS = 3000;
 
+/** Time after a restoration of the store in which hosts write their records again. */
+const ROLLBACK_GRACE_MILLISECONDS = 10_000;
+/** Time over which hosts spread their calls after a restoration of the store. */
+const RESTORATION_SPREAD_MILLISECONDS = 2000;
+
 /** Creates the fleet; initially it contains only this host. */
 export function createFleet(options: FleetOptions): Fleet {
   const { self, record, store, clock, logger, leader } = options;
@@ -69,6 +77,8 @@
   /** Time without a report, by listed host. */
   const unreportedSince = new Map<string, Stopwatch>();
   let sinceUnlisted: Stopwatch | undefined;
+  let sinceRollback: Stopwatch | undefined;
+  const { random = Math.random } = options;
   let connectedKey = '';
 
   const links = createFleetLinks({
@@ -151,11 +161,32 @@
     removeUnreportedRecords();
   });
 
+  /** Returns the known hosts that are missing in a list of the store that has been restored. */
+  const findLostPeers = (listed: readonly ListedPeer[]): readonly ListedPeer[] => {
+    if (!sinceRollback || sinceRollback() > ROLLBACK_GRACE_MILLISECONDS) return [];
+    const names = new Set(listed.map(({ host }) => host));
+    return peers.filter(({ host }) => !names.has(host));
+  };
+
   return {
     topology,
     links,
+    recordRollback: () => {
+      sinceRollback = startMonotonicStopwatch(clock);
+      clock.after(random() * RESTORATION_SPREAD_MILLISECONDS, () => {
+        links.restoreSecret().catch((error: unknown) => {
+          logger.warn('restoring the secret for links failed', { error: errorMessage(error) });
+        });
+      });
+      clock.after(ROLLBACK_GRACE_MILLISECONDS + 1, () => {
+        peers = peers.filter(({ host }) => versionByHost.has(host));
+        topology.update(peers);
+        connect();
+      });
+    },
     updateHosts: (view) => {
-      peers = parseHostRecords(view);
+      const listed = parseHostRecords(view);
+      peers = [...listed, ...findLostPeers(listed)];
       versionByHost = new Map([...view.values()].map(({ name, version }) => [name, version]));
       [...unreportedSince.keys()].forEach((host) => {
         if (!versionByHost.has(host)) unreportedSince.delete(host);
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -160,6 +160,22 @@
       .filter((follower) => follower.isWatching())
       .map(({ kind }) => kind);
 
+  const rankByKind = (): Record<string, number> =>
+    Object.fromEntries(
+      followers()
+        .map((follower): [string, number] => [follower.kind, follower.rank()])
+        .filter(([, rank]) => rank > 0),
+    );
+
+  /** Compares what a linked host has of each kind with what this host has. */
+  const compareVersions = (
+    link: Link,
+    { seen, ranks = {} }: Pick<HostState, 'seen' | 'ranks'>,
+  ): void =>
+    followers().forEach((follower) =>
+      follower.receiveVersion(link, seen[follower.kind] ?? 0, ranks[follower.kind]),
+    );
+
   const versionByKind = (): Record<string, number> =>
     Object.fromEntries(followers().map((follower) => [follower.kind, follower.changedAt()]));
 
@@ -172,6 +188,7 @@
       asked: requested,
       orders: leadership().describeLease(),
       seen: versionByKind(),
+      ranks: rankByKind(),
       watches: watchedKinds(),
     };
   };
@@ -278,6 +295,7 @@
     running: runningExcept(receiver),
     orders: leadership().newestLease(),
     seen: versionByKind(),
+    ranks: rankByKind(),
     watchers: Object.fromEntries(followers().map(({ kind }) => [kind, watchersOf(kind)])),
     unreachable: topology.unreachablePeers(),
   });
@@ -312,9 +330,7 @@
     receiveState: (link, state) => {
       const { peer } = link;
       if (applyState(peer, state, 0, true)) {
-        followers().forEach((follower) =>
-          follower.receiveVersion(link, state.seen[follower.kind] ?? 0),
-        );
+        compareVersions(link, state);
         if (state.summaries === SUMMARY_RATE.OFTEN) recordPendingState(peer, state);
       }
       if (state.summaries) link.send(MESSAGE.SUMMARY, buildSummary(peer.host));
@@ -323,9 +339,7 @@
       relayed.forEach(({ age, state, ...origin }) => {
         const isOwn = origin.host === link.peer.host;
         if (origin.host === self || !applyState(origin, state, age, isOwn) || !isOwn) return;
-        followers().forEach((follower) =>
-          follower.receiveVersion(link, state.seen[follower.kind] ?? 0),
-        );
+        compareVersions(link, state);
       }),
     receiveSummary: (link, summary) => {
       const { peer } = link;
@@ -335,9 +349,7 @@
       quotas.receiveHubTotals(peer, summary.taken, peer.host === primaryHub);
       if (summary.orders)
         leadership().receiveLease(summary.orders.host, summary.orders, summary.orders.age);
-      followers().forEach((follower) =>
-        follower.receiveVersion(link, summary.seen[follower.kind] ?? 0),
-      );
+      compareVersions(link, summary);
     },
     recordRequest: (model, credit) => {
       requestedCredit[model] = (requestedCredit[model] ?? 0) + credit;
--- a/packages/entry/src/group.ts
+++ b/packages/entry/src/group.ts
@@ -85,6 +85,21 @@
   });
 }
 
+/**
+ * Writes the shared secret again if the store has lost it.
+ * @returns the secret that the store has now; another one if a new host was faster
+ */
+export function restoreSecret(options: RegistrationOptions, secret: string): Promise<string> {
+  const { store } = options;
+  const key = { kind: SECRET_KIND, name: 'links' };
+  return retryUntilDefined(options, 'restoring the secret for links', async () => {
+    const found = await store.read<{ secret: string }>(key);
+    if (found) return found.value.secret;
+    await store.write(key, { secret }, ABSENT);
+    return undefined;
+  });
+}
+
 /** Writes this host's record, so that the other hosts discover it. */
 export async function registerHost(
   options: RegistrationOptions,
--- a/packages/entry/src/links.ts
+++ b/packages/entry/src/links.ts
@@ -9,7 +9,7 @@
   type PeerNetwork,
 } from '@bulrushspar/peer';
 import type { Incarnation, ObjectStore } from '@bulrushspar/store';
-import { registerHost, readSecret, type OwnRecord } from './group.js';
+import { readSecret, registerHost, restoreSecret, type OwnRecord } from './group.js';
 
 /** Links of one host; they open once the shared secret has been read from the store. */
 export interface FleetLinks {
@@ -24,6 +24,8 @@
   open(): Promise<void>;
   /** Writes this host's record again. */
   register(): Promise<void>;
+  /** Writes the shared secret again if the store has lost it; accepts the store's one from now on. */
+  restoreSecret(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -51,6 +53,8 @@
   let wantedPeers: readonly PeerAddress[] = [];
   let keptHosts: ReadonlySet<string> = new Set();
   const storeOptions = { store, clock, logger };
+  /** Accepted secrets; the first is the one that this host has started with. */
+  const secrets: string[] = [];
 
   const all = (): readonly Link[] => network?.getLinks() ?? [];
 
@@ -71,10 +75,10 @@
       connect();
     },
     open: async () => {
-      const secret = await readSecret(storeOptions);
+      secrets.push(await readSecret(storeOptions));
       network = createPeerNetwork({
         self,
-        secrets: [secret],
+        secrets,
         clock,
         handlers,
         silenceTimeoutMilliseconds: LINK_TIMEOUT_MILLISECONDS,
@@ -92,6 +96,12 @@
       await register();
     },
     register,
+    restoreSecret: async () => {
+      const [secret] = secrets;
+      if (secret === undefined) return;
+      const current = await restoreSecret(storeOptions, secret);
+      if (!secrets.includes(current)) secrets.push(current);
+    },
     close: async () => {
       await network?.close();
     },
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -61,6 +61,8 @@
   readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
   readonly seen: Readonly<Record<string, number>>;
+  /** Greatest rank of the objects of each kind that has ranks. */
+  readonly ranks?: Readonly<Record<string, number>>;
   /** Kinds that the host watches in the store, with a recent answer. */
   readonly watches: readonly string[];
   /** How often the host needs summaries from the receiver; absent if it needs none. */
@@ -114,6 +116,8 @@
   readonly orders?: ReportedLease;
   /** Version at which each followed kind last changed. */
   readonly seen: Readonly<Record<string, number>>;
+  /** Greatest rank of the objects of each kind that has ranks. */
+  readonly ranks?: Readonly<Record<string, number>>;
   /** Names of the hosts that watch the store, by kind. */
   readonly watchers: Readonly<Record<string, readonly string[]>>;
   /** Hosts that should be hubs and are not reachable for this one. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -14,7 +14,12 @@
   type Outlook,
 } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
-import type { Incarnation, ObjectStore } from '@bulrushspar/store';
+import {
+  createEraTracker,
+  type EraTracker,
+  type Incarnation,
+  type ObjectStore,
+} from '@bulrushspar/store';
 import type { ReportedLease, OrderLease } from './messages.js';
 
 /** Leadership for the orders to the servers: one host at a time, the leader, sends them. */
@@ -52,6 +57,10 @@
   readonly onUnloading: (server: string, model: string) => void;
   /** Minimum milliseconds between the last order of one leader and the first of the next. */
   readonly handoverMilliseconds: number;
+  /** Era of the store, which the fencing numbers contain. */
+  readonly eras?: EraTracker;
+  /** The fleet starts for the first time, so that no lease can have been lost. */
+  readonly isFirstStart?: boolean;
   /** Rank of this host among the contenders, so that they do not all contend at once. */
   readonly contentionRank: () => number;
   /** Whether other hosts have reported that the store answers them. */
@@ -89,6 +98,7 @@
   const { store, clock, logger, self, demand, configuration, runningByModel } = options;
   const { onOutlook, onUnloading, handoverMilliseconds, contentionRank, canOthersReachStore } =
     options;
+  const { eras = createEraTracker(), isFirstStart = false } = options;
   /** Last report on the lease, by host. */
   const receivedLeases = new Map<string, ReceivedLease>();
   let lastDescribed: OrderLease | undefined;
@@ -121,6 +131,8 @@
     self,
     termMilliseconds: TERM_MILLISECONDS,
     handoverMilliseconds,
+    currentEra: eras.current,
+    mayHaveLostRecords: () => eras.current() > 0 && (eras.hasChanged() || !isFirstStart),
     isContender: () => !mustDefer(),
     isAbandoned: (fencing) => {
       const found = newestReceived();
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -3,7 +3,10 @@
 import type { Logger } from '@bulrushspar/logging';
 import type { Link } from '@bulrushspar/peer';
 import {
+  createEraTracker,
+  eraOf,
   listAndWatch,
+  type EraTracker,
   type ObjectChange,
   type ObjectStore,
   type ObjectView,
@@ -23,8 +26,13 @@
   isWatching(): boolean;
   /** Applies changes broadcast by another host; pulls all objects if earlier ones are missing. */
   receiveChanges(link: Link, message: ChangesMessage): void;
-  /** Compares with the version of another host, and pulls its objects if this view stays behind. */
-  receiveVersion(link: Link, changedAt: number): void;
+  /** Greatest rank of an object that this host has; 0 for a kind without ranks. */
+  rank(): number;
+  /**
+   * Compares with the version and the rank of another host, and pulls its objects if this view stays
+   * behind.
+   */
+  receiveVersion(link: Link, changedAt: number, rank?: number): void;
   /** Returns all objects, for a host that has missed changes. */
   snapshot(): PullAnswer;
   run(signal: AbortSignal): Promise<void>;
@@ -43,6 +51,13 @@
   readonly onChanges: (message: ChangesMessage) => void;
   /** Called when the store answers again after a failure, to this host or to one it pulls from. */
   readonly onStoreRecovered?: () => void;
+  /** Learns the store's era from the versions of other hosts. */
+  readonly eras?: EraTracker;
+  /**
+   * Returns the rank of a value. An object never goes back to a value of lower rank, also if the
+   * store does.
+   */
+  readonly rankOf?: (value: unknown) => number;
   /** Whether to wait for the first view from another host instead of reading the store. */
   readonly awaitsFirstView?: () => boolean;
   /** Longest wait of one watch, in seconds; a silent store is detected one second later. */
@@ -75,7 +90,7 @@
 export function createKindFollower(options: KindFollowerOptions): KindFollower {
   const { kind, store, clock, logger, countBetterRankedWatchers, onView, onChanges } = options;
   const { onStoreRecovered = () => {}, awaitsFirstView = () => false } = options;
-  const { watchSeconds = 1, batchMilliseconds = 0 } = options;
+  const { watchSeconds = 1, batchMilliseconds = 0, rankOf, eras = createEraTracker() } = options;
   const answerTimeoutMilliseconds =
     watchSeconds * MILLISECONDS_PER_SECOND + ANSWER_MARGIN_MILLISECONDS;
   let view = new Map<string, StoredObject>();
@@ -92,9 +107,26 @@
   const mustWatch = (): boolean =>
     changedAt === 0 ? !awaitsFirstView() : countBetterRankedWatchers(kind) < WATCHERS_PER_KIND;
 
+  const rankOfObject = (object: StoredObject | undefined): number =>
+    object && rankOf ? rankOf(object.value) : 0;
+
+  const rank = (): number => Math.max(0, ...[...view.values()].map(rankOfObject));
+
+  /** Takes an object from the store, with the known value if that one ranks higher. */
+  const mergeObject = (next: StoredObject): StoredObject => {
+    const known = view.get(next.name);
+    return known && rankOfObject(known) > rankOfObject(next)
+      ? { ...next, value: known.value }
+      : next;
+  };
+
   const replaceView = (next: ObjectView<unknown>, version: number): void => {
     if (version < changedAt) return;
-    view = new Map(next);
+    const merged = new Map([...next].map(([name, object]) => [name, mergeObject(object)]));
+    view.forEach((known, name) => {
+      if (rankOfObject(known) > 0 && !merged.has(name)) merged.set(name, known);
+    });
+    view = merged;
     changedAt = version;
     onView(view);
   };
@@ -102,8 +134,8 @@
   const applyChanges = (changes: readonly ObjectChange[], version: number): void => {
     changes.forEach(({ name, version: changed, value }) => {
       if ((view.get(name)?.version ?? 0) > changed) return;
-      if (value === undefined) view.delete(name);
-      else view.set(name, { name, version: changed, value });
+      if (value !== undefined) view.set(name, mergeObject({ name, version: changed, value }));
+      else if (rankOfObject(view.get(name)) === 0) view.delete(name);
     });
     changedAt = version;
     onView(view);
@@ -120,7 +152,11 @@
     try {
       const body: PullMessage = { kind };
       const answer = await link.request<PullAnswer>(MESSAGE.PULL, body, PULL_TIMEOUT_MILLISECONDS);
-      if (answer.changedAt <= changedAt) return;
+      const objects = new Map(answer.objects.map((object) => [object.name, object]));
+      const hasHigherRank = answer.objects.some(
+        (object) => rankOfObject(object) > rankOfObject(view.get(object.name)),
+      );
+      if (answer.changedAt <= changedAt && !hasHigherRank) return;
       logger.info('objects pulled from another host', {
         kind,
         from: link.peer.host,
@@ -128,7 +164,16 @@
         before: changedAt,
       });
       if (answer.afterOutage) onStoreRecovered();
-      replaceView(new Map(answer.objects.map((object) => [object.name, object])), answer.changedAt);
+      if (answer.changedAt >= changedAt) replaceView(objects, answer.changedAt);
+      else {
+        // Only what ranks higher is newer than the objects of this host.
+        objects.forEach((object, name) => {
+          const known = view.get(name);
+          if (rankOfObject(object) > rankOfObject(known))
+            view.set(name, { ...object, version: known?.version ?? object.version });
+        });
+        onView(view);
+      }
     } catch (error) {
       logger.warn('pulling objects from another host failed', { kind, error: errorMessage(error) });
     } finally {
@@ -198,16 +243,20 @@
     kind,
     changedAt: () => changedAt,
     isWatching,
+    rank,
     receiveChanges: (link, message) => {
+      eras.learn(eraOf(message.changedAt));
       receivedVersion = Math.max(receivedVersion, message.changedAt);
       if (message.changedAt <= changedAt) return;
       if (message.since > changedAt) pull(link).catch(() => {});
       else applyChanges(message.changes, message.changedAt);
     },
-    receiveVersion: (link, version) => {
-      if (version <= changedAt) return;
+    receiveVersion: (link, version, otherRank = 0) => {
+      eras.learn(eraOf(version));
+      const isBehind = (): boolean => version > changedAt || otherRank > rank();
+      if (!isBehind()) return;
       clock.after(changedAt === 0 ? 0 : PROPAGATION_MILLISECONDS, () => {
-        if (version > changedAt) pull(link).catch(() => {});
+        if (isBehind()) pull(link).catch(() => {});
       });
     },
     snapshot: () => ({
--- a/packages/entry/test/source.feature
+++ b/packages/entry/test/source.feature
@@ -38,3 +38,46 @@
     And host 4 misses a change
     And 1 s pass without a change
     Then all hosts have the same view
+
+  Scenario Outline: The store comes back from a copy and gives its versions out again
+    Given four hosts that follow one kind
+    When 5 s pass without a change
+    And the store is copied
+    And <before> changes are made
+    And <lasts> s pass without a change
+    And the store comes back from the copy
+    And <after> changes are made
+    And 3 s pass without a change
+    Then the view of all hosts is that of the store
+    And a change reaches all hosts within 100 ms
+
+    Examples:
+      | before | lasts | after |
+      | 0      | 1     | 0     |
+      | 3      | 1     | 0     |
+      | 3      | 1     | 3     |
+      | 3      | 1     | 8     |
+      | 3      | 0     | 3     |
+      | 3      | 0     | 8     |
+
+  Scenario: The configuration in force never goes back, also on a host that starts later
+    Given four hosts that follow one kind
+    When 5 s pass without a change
+    And the operators write configuration 5
+    And the store is copied
+    And the operators write configuration 7
+    Then all hosts have configuration 7
+    When the store comes back from the copy
+    And 3 s pass without a change
+    Then all hosts have configuration 7
+    When host 3 is restarted
+    And 3 s pass without a change
+    Then all hosts have configuration 7
+    When the operators write configuration 6
+    Then all hosts have configuration 7
+    When host 1 is restarted
+    And 3 s pass without a change
+    Then all hosts have configuration 7
+    When the operators write configuration 8
+    Then all hosts have configuration 8
+    And no host has gone back to an earlier configuration
--- a/packages/entry/test/source.ts
+++ b/packages/entry/test/source.ts
@@ -4,8 +4,17 @@
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import { createKindFollower, type ChangesMessage, type KindFollower } from '@bulrushspar/entry';
 import type { Link } from '@bulrushspar/peer';
-import { createMemoryStore, type MemoryStore } from '@bulrushspar/standins';
-import { createStoreError, EFFECT, type ObjectStore } from '@bulrushspar/store';
+import { createMemoryStore, type MemoryStore, type StoreCopy } from '@bulrushspar/standins';
+import {
+  createEraStore,
+  createEraTracker,
+  createStoreError,
+  EFFECT,
+  type DatedAnswer,
+  type EraTracker,
+  type ObjectStore,
+  type RevisionStore,
+} from '@bulrushspar/store';
 
 interface FollowerWorld {
   clock: ManualClock;
@@ -13,6 +22,7 @@
   hosts: FollowingHost[];
   stopping: AbortController;
   changeCount: number;
+  copy: StoreCopy;
 }
 
 interface FollowingHost {
@@ -22,15 +32,22 @@
   linked: boolean;
   missesChanges: boolean;
   viewNames: string[];
+  /** Configuration versions that the host has had in its view, in this order. */
+  configurationVersions: number[];
   /** Whether each other host watches the store, as last received from it. */
   readonly isWatchingByHost: Map<number, boolean>;
 }
 
 const KIND = 'servers';
+/** Object whose values have ranks. */
+const CONFIGURATION = 'configuration';
 const STATE_INTERVAL_MILLISECONDS = 200;
 const STEP_MILLISECONDS = 20;
 const SECOND_MILLISECONDS = 1000;
 
+const getConfigurationVersion = (value: unknown): number =>
+  typeof value === 'object' ? ((value as { version?: number } | null)?.version ?? 0) : 0;
+
 /** Watches with the manual clock; the watch of the memory store waits in real time. */
 async function watchWithManualClock(
   { clock, store }: FollowerWorld,
@@ -50,7 +67,11 @@
   }
 }
 
-function createFaultyStore(world: FollowerWorld, host: () => FollowingHost): ObjectStore {
+function createFaultyStore(
+  world: FollowerWorld,
+  host: () => FollowingHost,
+  eras: EraTracker,
+): ObjectStore {
   const withFault = async <Answer>(work: () => Promise<Answer>, waitMilliseconds: number) => {
     const { fault } = host();
     if (fault === 'refuses') throw createStoreError(EFFECT.NONE, 'refused');
@@ -60,9 +81,15 @@
     }
     return work();
   };
-  return {
-    ...world.store,
-    list: (kind) => withFault(() => world.store.list(kind), 700),
+  const date = async <Answer>(work: Promise<Answer>): Promise<DatedAnswer<Answer>> => {
+    const answer = await work;
+    return { era: 1 + world.store.era(), answer };
+  };
+  const store: RevisionStore = {
+    read: (key) => date(world.store.read(key)),
+    write: (key, value, expected) => date(world.store.write(key, value, expected)),
+    remove: (key, expected) => date(world.store.remove(key, expected)),
+    list: (kind) => date(withFault(() => world.store.list(kind), 700)),
     watch: async (kind, after, seconds, signal) => {
       const answer = await withFault(
         () => watchWithManualClock(world, kind, after, seconds, signal),
@@ -70,9 +97,10 @@
       );
       // A fault during the wait makes the watch fail.
       if (host().fault !== undefined) throw createStoreError(EFFECT.UNKNOWN, 'cut');
-      return answer as never;
+      return { era: 1 + world.store.era(), answer };
     },
   };
+  return createEraStore(store, eras);
 }
 
 function linkTo(world: FollowerWorld, to: FollowingHost): Link {
@@ -92,15 +120,20 @@
 function createHost(world: FollowerWorld, number: number): FollowingHost {
   const others = (): FollowingHost[] =>
     world.hosts.filter((other) => other.number !== number && other.linked && host.linked);
+  const eras = createEraTracker();
   const follower = createKindFollower({
     kind: KIND,
-    store: createFaultyStore(world, () => host),
+    store: createFaultyStore(world, () => host, eras),
+    eras,
+    rankOf: getConfigurationVersion,
     clock: world.clock,
     logger: { info: () => {}, warn: () => {}, error: () => {} },
     countBetterRankedWatchers: () =>
       [...host.isWatchingByHost].filter(([other, watches]) => other < number && watches).length,
     onView: (view) => {
       host.viewNames = [...view.keys()].sort();
+      const version = getConfigurationVersion(view.get(CONFIGURATION)?.value);
+      if (version !== host.configurationVersions.at(-1)) host.configurationVersions.push(version);
     },
     onChanges: (message: ChangesMessage) => {
       others().forEach((other) => {
@@ -116,6 +149,7 @@
     linked: true,
     missesChanges: false,
     viewNames: [],
+    configurationVersions: [],
     isWatchingByHost: new Map(),
   };
   return host;
@@ -128,7 +162,8 @@
       if (!host.linked || !other.linked) host.isWatchingByHost.delete(other.number);
       else {
         host.isWatchingByHost.set(other.number, other.follower.isWatching());
-        host.follower.receiveVersion(linkTo(world, other), other.follower.changedAt());
+        const { follower } = other;
+        host.follower.receiveVersion(linkTo(world, other), follower.changedAt(), follower.rank());
       }
     });
   });
@@ -214,3 +249,54 @@
   const [first, ...others] = this.hosts;
   others.forEach((host) => assert.deepEqual(host.viewNames, first!.viewNames));
 });
+
+When(
+  'the operators write configuration {int}',
+  async function write(this: FollowerWorld, version: number) {
+    const key = { kind: KIND, name: CONFIGURATION };
+    const found = await this.store.read(key);
+    await this.store.write(key, { version }, found?.version ?? 0);
+    await this.clock.advance(SECOND_MILLISECONDS);
+  },
+);
+
+When('the store is copied', function copy(this: FollowerWorld) {
+  this.copy = this.store.copy();
+});
+
+When('the store comes back from the copy', function restore(this: FollowerWorld) {
+  this.store.restore(this.copy);
+});
+
+When('{int} changes are made', async function change(this: FollowerWorld, count: number) {
+  for (let made = 0; made < count; made += 1) {
+    // eslint-disable-next-line no-await-in-loop -- changes are made one after another
+    await writeChange(this);
+  }
+});
+
+When('host {int} is restarted', async function restart(this: FollowerWorld, number: number) {
+  const host = createHost(this, number);
+  this.hosts[number - 1] = host;
+  host.follower.run(this.stopping.signal).catch(() => {});
+  await this.clock.advance(SECOND_MILLISECONDS);
+});
+
+Then('all hosts have configuration {int}', function check(this: FollowerWorld, version: number) {
+  this.hosts.forEach((host) => assert.equal(host.configurationVersions.at(-1), version));
+});
+
+Then('no host has gone back to an earlier configuration', function check(this: FollowerWorld) {
+  this.hosts.forEach(({ configurationVersions }) =>
+    assert.deepEqual(
+      configurationVersions,
+      [...configurationVersions].sort((a, b) => a - b),
+    ),
+  );
+});
+
+Then('the view of all hosts is that of the store', async function check(this: FollowerWorld) {
+  const { objects } = await this.store.list(KIND);
+  const names = objects.map(({ name }) => name).sort();
+  this.hosts.forEach(({ viewNames }) => assert.deepEqual(viewNames, names));
+});
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -7,8 +7,11 @@
 } from '@bulrushspar/clock';
 import {
   ABSENT,
+  composeVersion,
+  eraOf,
   isSameIncarnation,
   RETRIED_WRITE_OUTCOME,
+  revisionOf,
   writeWithRetry,
   type Incarnation,
   type ObjectStore,
@@ -20,7 +23,7 @@
 export interface LeaseRecord {
   /** Process that holds the lease; absent while the lease is free. */
   readonly holder?: Incarnation;
-  /** Increases by one with each new holder. */
+  /** Increases with each new holder; contains the era in which the holder acquired the lease. */
   readonly fencing: number;
   /** Host that held the lease before the current holder, if that was another host. */
   readonly former?: string;
@@ -71,6 +74,10 @@
   readonly isAbandoned?: (fencing: number) => boolean;
   /** Validity of one renewal, in milliseconds. */
   readonly termMilliseconds?: number;
+  /** The store's era; a record of an earlier era does not show who has held the lease since. */
+  readonly currentEra?: () => number;
+  /** Whether the store may have lost the record of a lease that a process still holds. */
+  readonly mayHaveLostRecords?: () => boolean;
   /** Minimum milliseconds between the last action of one host and the first of the next. */
   readonly handoverMilliseconds?: number;
   /**
@@ -92,9 +99,13 @@
 /** Terms without a renewal after which a lease has expired; more than 1, for clocks that drift. */
 const EXPIRY_TERMS = 1.25;
 
+/** Former host of a lease whose record the store may have lost. */
+const UNKNOWN_HOST = '?';
+
 /** Version of the lease record and the time since this process first read it. */
 interface ObservedVersion {
   readonly version: Version;
+  readonly era: number;
   readonly since: Stopwatch;
 }
 
@@ -110,6 +121,7 @@
 export function createLease(options: LeaseOptions): Lease {
   const { store, clock, name, self, isContender = () => true, onChange = () => {} } = options;
   const { termMilliseconds = 8000, isAbandoned = () => false } = options;
+  const { currentEra = () => 0, mayHaveLostRecords = () => false } = options;
   const { handoverMilliseconds = 0, millisecondsSinceFormerAction = () => undefined } = options;
   const key = { kind: LEASE_KIND, name };
   const renewalIntervalMilliseconds = termMilliseconds / RENEWALS_PER_TERM;
@@ -124,8 +136,12 @@
   /** Lower bound for the time between the end of the former term and this acquisition. */
   let expiredMilliseconds = 0;
 
+  const isOfCurrentEra = (fencing: number): boolean => eraOf(fencing) === currentEra();
+
   const heldFencing = (): number | undefined =>
-    lastRenewal && lastRenewal.since() < termMilliseconds ? lastRenewal.fencing : undefined;
+    lastRenewal && lastRenewal.since() < termMilliseconds && isOfCurrentEra(lastRenewal.fencing)
+      ? lastRenewal.fencing
+      : undefined;
 
   // The former host may have acted shortly before. Without its report, its last action is assumed
   // to be at the end of its term.
@@ -169,6 +185,7 @@
     if (
       settled.outcome === RETRIED_WRITE_OUTCOME.WRITTEN &&
       isSelf(record.holder) &&
+      eraOf(settled.version) === eraOf(record.fencing) &&
       !isAbandonedTerm
     ) {
       lastRenewal = { since, fencing: record.fencing, version: settled.version };
@@ -179,11 +196,22 @@
 
   /** Whether the record has not changed for longer than a term can last. */
   const isExpired = (version: Version): boolean => {
-    if (observed?.version !== version)
-      observed = { version, since: startMonotonicStopwatch(clock) };
+    const era = currentEra();
+    if (observed?.version !== version || observed.era !== era)
+      observed = { version, era, since: startMonotonicStopwatch(clock) };
     return observed.since() > termMilliseconds * EXPIRY_TERMS;
   };
 
+  /**
+   * Returns a fencing number above all that may have been given out, also under records that the
+   * store has lost. Within an era, only one write can replace a version.
+   */
+  const nextFencing = (fencing: number, replaced: Version): number => {
+    const era = currentEra();
+    if (era === 0) return fencing + 1;
+    return Math.max(fencing, composeVersion(era, revisionOf(replaced))) + 1;
+  };
+
   /** Keeps the former host in the record, so that a restart during a handover continues it. */
   const renew = (version: Version, fencing: number): Promise<void> =>
     writeRecord(version, {
@@ -200,20 +228,30 @@
     const found: StoredObject<LeaseRecord> | undefined = await store.read<LeaseRecord>(key);
     const { version = ABSENT, value = UNHELD } = found ?? {};
     const { holder, fencing } = value;
-    if (isSelf(holder) && fencing !== abandonedFencing) {
+    // A later record may have been lost, with a holder whose term has not ended.
+    const isHolderUnknown = found ? !isOfCurrentEra(fencing) : mayHaveLostRecords();
+    if (isSelf(holder) && !isHolderUnknown && fencing !== abandonedFencing) {
       await renew(version, fencing);
       return;
     }
     lastRenewal = undefined;
-    const isTermOver = holder === undefined || holder.host === self.host || isAbandoned(fencing);
+    const isTermOver =
+      !isHolderUnknown &&
+      (holder === undefined || holder.host === self.host || isAbandoned(fencing));
     const isAvailable = isTermOver || isExpired(version);
     if (!isAvailable) return;
     const wasOwnHost = holder?.host === self.host;
-    formerHost = (wasOwnHost ? value.former : undefined) ?? holder?.host ?? value.former;
+    formerHost = isHolderUnknown
+      ? UNKNOWN_HOST
+      : ((wasOwnHost ? value.former : undefined) ?? holder?.host ?? value.former);
     formerFencing = fencing;
     sinceAcquired = startMonotonicStopwatch(clock);
     expiredMilliseconds = isTermOver ? 0 : observed!.since() - termMilliseconds;
-    await writeRecord(version, { holder: self, fencing: fencing + 1, former: formerHost });
+    await writeRecord(version, {
+      holder: self,
+      fencing: nextFencing(fencing, version),
+      former: formerHost,
+    });
   };
 
   const release = async (): Promise<void> => {
--- a/packages/lease/test/lease.feature
+++ b/packages/lease/test/lease.feature
@@ -29,3 +29,24 @@
 
   Scenario: Random interleavings of pauses, lost connections, crashes and clock changes
     Then 200 generated interleavings never have two holders
+
+  Scenario Outline: The store comes back from an older copy
+    Given three processes that contend for a lease
+    When the lease changes hosts <changes> times
+    And the store comes back from a copy that is <age> s old
+    Then no two processes held the lease at the same time
+    And each new holder had a higher fencing number
+    And within 30 s after the fault a process holds it
+
+    Examples:
+      | changes | age |
+      | 0       | 0   |
+      | 0       | 2   |
+      | 0       | 60  |
+      | 1       | 3   |
+      | 1       | 20  |
+      | 2       | 20  |
+      | 2       | 40  |
+
+  Scenario: Random interleavings with restorations of the store
+    Then 200 generated interleavings with restorations of the store never have two holders
--- a/packages/lease/test/lease.ts
+++ b/packages/lease/test/lease.ts
@@ -3,7 +3,13 @@
 import fc from 'fast-check';
 import { createClock, createManualClock, type Clock, type ManualClock } from '@bulrushspar/clock';
 import { createLease, type Lease } from '@bulrushspar/lease';
-import { createMemoryStore, type MemoryStore } from '@bulrushspar/standins';
+import { createMemoryStore, type MemoryStore, type StoreCopy } from '@bulrushspar/standins';
+import {
+  createEraStore,
+  createEraTracker,
+  type DatedAnswer,
+  type ObjectStore,
+} from '@bulrushspar/store';
 
 interface Contender {
   readonly name: string;
@@ -21,6 +27,8 @@
 interface LeaseWorld {
   clock: ManualClock;
   store: MemoryStore;
+  /** Copies of the store, one each second. */
+  copies: { readonly at: number; readonly copy: StoreCopy }[];
   contenders: Contender[];
   isStoreUnreachable: boolean;
   /** Holders with their fencing numbers, in the order of observation. */
@@ -31,6 +39,9 @@
 const STEP_MILLISECONDS = 100;
 const SECOND_MILLISECONDS = 1000;
 const SEED = 20261203;
+const FIRST_ERA = 1;
+const FIRST_INCARNATION = '-1';
+const COPY_INTERVAL_MILLISECONDS = 1000;
 
 function createContender(world: LeaseWorld, name: string, incarnation: string): Contender {
   const deferredActions: (() => void)[] = [];
@@ -53,6 +64,22 @@
     if (world.isStoreUnreachable || contender.isCutOff) return 'request-lost';
     return contender.losesAnswers && storeCalls % 2 === 0 ? 'answer-lost' : undefined;
   });
+  const eras = createEraTracker();
+  const dated = async <Answer>(work: Promise<Answer>): Promise<DatedAnswer<Answer>> => {
+    // The store names its era at the time of the call.
+    const era = FIRST_ERA + world.store.era();
+    return { era, answer: await whileRunning(work) };
+  };
+  const eraStore = createEraStore(
+    {
+      read: (key) => dated(store.read(key)),
+      list: (kind) => dated(store.list(kind)),
+      write: (key, value, expected) => dated(store.write(key, value, expected)),
+      remove: (key, expected) => dated(store.remove(key, expected)),
+      watch: (kind, after, seconds) => dated(store.watch(kind, after, seconds)),
+    },
+    eras,
+  );
   const whileRunning = async <Answer>(work: Promise<Answer>): Promise<Answer> => {
     work.catch(() => {});
     await new Promise<void>((resolve) => {
@@ -61,14 +88,12 @@
     return work;
   };
   const lease = createLease({
-    store: {
-      ...store,
-      read: (key) => whileRunning(store.read(key)),
-      write: (key, value, expected) => whileRunning(store.write(key, value, expected)),
-    },
+    store: eraStore satisfies ObjectStore,
     clock,
     name: 'duty',
     self: { host: name, incarnation },
+    currentEra: eras.current,
+    mayHaveLostRecords: () => eras.hasChanged() || !incarnation.endsWith(FIRST_INCARNATION),
   });
   const contender: Contender = {
     name,
@@ -99,6 +124,9 @@
   while (world.clock.monotonic() < end) {
     // eslint-disable-next-line no-await-in-loop -- time advances in steps
     await world.clock.advance(STEP_MILLISECONDS);
+    const now = world.clock.monotonic();
+    if (now % COPY_INTERVAL_MILLISECONDS < STEP_MILLISECONDS)
+      world.copies.push({ at: now, copy: world.store.copy() });
     const holders = activeHolders(world);
     Object.assign(world, {
       maxConcurrentHolders: Math.max(world.maxConcurrentHolders, holders.length),
@@ -114,6 +142,7 @@
     clock: createManualClock(),
     store: createMemoryStore(),
     contenders: [],
+    copies: [],
     isStoreUnreachable: false,
     observedHolders: [],
     maxConcurrentHolders: 0,
@@ -182,6 +211,34 @@
   },
 );
 
+/** Restores the store from its newest copy of at least the given age. */
+function restoreStore(world: LeaseWorld, ageSeconds: number): void {
+  const latest = world.clock.monotonic() - ageSeconds * SECOND_MILLISECONDS;
+  const found = world.copies.filter(({ at }) => at <= latest).at(-1);
+  world.store.restore(found?.copy ?? { version: 0, objects: new Map() });
+}
+
+When(
+  'the store comes back from a copy that is {int} s old',
+  async function restore(this: LeaseWorld, age: number) {
+    this.isStoreUnreachable = true;
+    await advance(this, SECOND_MILLISECONDS);
+    restoreStore(this, age);
+    this.isStoreUnreachable = false;
+    await advance(this, SECOND_MILLISECONDS);
+  },
+);
+
+When('the lease changes hosts {int} times', async function change(this: LeaseWorld, times: number) {
+  for (let count = 0; count < times; count += 1) {
+    const [holder] = activeHolders(this);
+    holder!.isPaused = true;
+    // eslint-disable-next-line no-await-in-loop -- one change after another
+    await advance(this, 14 * SECOND_MILLISECONDS);
+    holder!.resume();
+  }
+});
+
 When(
   'the store is unreachable for {int} s',
   async function disconnectStore(this: LeaseWorld, lasts: number) {
@@ -218,6 +275,12 @@
   },
 );
 
+const generatedRestoration = fc.record({
+  age: fc.integer({ min: 0, max: 30 }),
+  isUnreachableFor: fc.integer({ min: 0, max: 5000 }),
+  pause: fc.integer({ min: 0, max: 15_000 }),
+});
+
 const generatedStep = fc.record({
   contender: fc.integer({ min: 0, max: 2 }),
   fault: fc.constantFrom(...Object.keys(FAULTS).filter((name) => name !== 'is restarted in place')),
@@ -225,15 +288,30 @@
   pause: fc.integer({ min: 0, max: 15_000 }),
 });
 
+type GeneratedStep =
+  | (typeof generatedStep extends fc.Arbitrary<infer Step> ? Step : never)
+  | (typeof generatedRestoration extends fc.Arbitrary<infer Step> ? Step : never);
+
 Then(
-  '{int} generated interleavings never have two holders',
+  /^(\d+) generated interleavings( with restorations of the store)? never have two holders$/,
   { timeout: 120_000 },
-  async (numRuns: number) => {
-    const steps = fc.array(generatedStep, { minLength: 1, maxLength: 6 });
+  async (runs: string, withRestorations: string | null) => {
+    const numRuns = Number(runs);
+    const step = withRestorations ? fc.oneof(generatedStep, generatedRestoration) : generatedStep;
+    const steps = fc.array<GeneratedStep>(step, { minLength: 1, maxLength: 6 });
     const property = fc.asyncProperty(steps, async (plan) => {
       const world = {} as LeaseWorld;
       await startContenders(world);
-      for (const { contender, fault, lasts, pause } of plan) {
+      for (const step of plan) {
+        if ('age' in step) {
+          world.isStoreUnreachable = step.isUnreachableFor > 0;
+          await advance(world, step.isUnreachableFor);
+          restoreStore(world, step.age);
+          world.isStoreUnreachable = false;
+          await advance(world, step.pause);
+          continue;
+        }
+        const { contender, fault, lasts, pause } = step;
         const end = FAULTS[fault]!(world, world.contenders[contender]!);
         world.clock.after(lasts, end);
         // eslint-disable-next-line no-await-in-loop -- faults are sequential
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,6 +13,7 @@
   createMemoryStore,
   STORE_FAULT,
   type MemoryStore,
+  type StoreCopy,
   type StoreCall,
   type StoreFault,
   type StoreFaultRule,
--- a/packages/standins/src/memory.ts
+++ b/packages/standins/src/memory.ts
@@ -43,10 +43,25 @@
 export interface MemoryStore extends ObjectStore {
   /** Applies the calls that {@link STORE_FAULT}.LATE has held back, in order. */
   applyLateCalls(): void;
+  /** Returns a copy of all objects, from which the store can be restored. */
+  copy(): StoreCopy;
+  /**
+   * Restores the objects and the version counter from a copy. Watches from later versions expire,
+   * and versions are given out again.
+   */
+  restore(copy: StoreCopy): void;
+  /** Number of times that the store was restored. */
+  era(): number;
   /** Returns a client of the same objects with its own fault rule, as for another host. */
   withFaults(rule: StoreFaultRule): ObjectStore;
 }
 
+/** Objects and version counter of a store at one time. */
+export interface StoreCopy {
+  readonly version: Version;
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+}
+
 interface Change extends ObjectChange {
   readonly kind: string;
 }
@@ -62,6 +77,7 @@
   const changes: Change[] = [];
   const wakeWaitingWatches = new Set<() => void>();
   let version: Version = 0;
+  let era = 0;
 
   const getObjectsOfKind = (kind: string): Map<string, StoredObject> => {
     const objectsOfKind = objects.get(kind) ?? new Map<string, StoredObject>();
@@ -93,6 +109,20 @@
     });
 
   return {
+    era: () => era,
+    copy: (): StoreCopy => ({
+      version,
+      objects: new Map([...objects].map(([kind, ofKind]) => [kind, new Map(ofKind)])),
+    }),
+    restore: (copy: StoreCopy): void => {
+      era += 1;
+      version = copy.version;
+      objects.clear();
+      copy.objects.forEach((ofKind, kind) => objects.set(kind, new Map(ofKind)));
+      const kept = changes.filter((change) => change.version <= version);
+      changes.splice(0, changes.length, ...kept);
+      [...wakeWaitingWatches].forEach((wake) => wake());
+    },
     read: ({ kind, name }: ObjectKey) => getObjectsOfKind(kind).get(name),
     list: (kind: string) => ({ version, objects: [...getObjectsOfKind(kind).values()] }),
     write: (key: ObjectKey, value: unknown, expected: Version): WriteAnswer => {
@@ -110,13 +140,14 @@
     },
     watch: async (kind: string, after: Version, seconds: number): Promise<WatchAnswer> => {
       const oldest = changes[0]?.version ?? 1;
-      const isExpired = changes.length === MAX_KEPT_CHANGES && after < oldest - 1;
-      if (isExpired) return { version: after, changes: [], expired: true };
+      const isForgotten = changes.length === MAX_KEPT_CHANGES && after < oldest - 1;
+      if (isForgotten || after > version) return { version: after, changes: [], expired: true };
       const end = Date.now() + seconds * MILLISECONDS_PER_SECOND;
-      while (changesAfter(kind, after).length === 0 && Date.now() < end) {
+      while (changesAfter(kind, after).length === 0 && after <= version && Date.now() < end) {
         // eslint-disable-next-line no-await-in-loop -- waits for the next change
         await awaitChange(end - Date.now());
       }
+      if (after > version) return { version: after, changes: [], expired: true };
       const found = changesAfter(kind, after);
       return {
         version,
@@ -174,6 +205,9 @@
   return {
     ...withFaults(() => undefined),
     withFaults,
+    copy: state.copy,
+    restore: state.restore,
+    era: state.era,
     applyLateCalls: () => delayedCalls.splice(0).forEach((execute) => execute()),
   };
 }
--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -5,8 +5,12 @@
 export interface JsonAnswer {
   readonly status: number;
   readonly body: unknown;
+  readonly headers: AnswerHeaders;
 }
 
+/** Headers of an answer, by name in lower case. */
+export type AnswerHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
+
 /** One HTTP call to a service of the platform. */
 export interface JsonCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
@@ -37,6 +41,8 @@
 export interface JsonClientOptions {
   /** Statuses from 500 up with which the service states that the call had no effect. */
   readonly noEffectStatuses?: readonly number[];
+  /** Called with the headers of each answer, whatever its status. */
+  readonly onHeaders?: (headers: AnswerHeaders) => void;
 }
 
 /**
@@ -49,7 +55,7 @@
   timeoutMilliseconds: number,
   options: JsonClientOptions = {},
 ): JsonClient {
-  const { noEffectStatuses = [] } = options;
+  const { noEffectStatuses = [], onHeaders = () => {} } = options;
   const dispatcher: Dispatcher = new Agent({
     pipelining: 1,
     connect: { timeout: timeoutMilliseconds },
@@ -67,7 +73,9 @@
       body: call.body === undefined ? null : JSON.stringify(call.body),
     });
     const text = await answer.body.text();
-    return { status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) };
+    const { statusCode: status, headers } = answer;
+    onHeaders(headers);
+    return { status, headers, body: text === '' ? undefined : JSON.parse(text) };
   };
   return {
     call: async (call) => {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,6 +2,16 @@
  * Interfaces to the platform's object API, host list and weight store, with their HTTP adapters;
  * watches of a kind, and conditional writes that are retried when an answer is lost.
  */
+export {
+  composeVersion,
+  createEraStore,
+  createEraTracker,
+  eraOf,
+  revisionOf,
+  type DatedAnswer,
+  type EraTracker,
+  type RevisionStore,
+} from './era.js';
 export {
   listAndWatch,
   type ListAndWatchOptions,
@@ -18,6 +28,7 @@
 export { isSameIncarnation, type Incarnation } from './incarnation.js';
 export {
   createJsonClient,
+  type AnswerHeaders,
   type JsonAnswer,
   type JsonCall,
   type JsonClient,
