--- a/packages/lease/test/lease.ts
+++ b/packages/lease/test/lease.ts
@@ -292,6 +292,20 @@
   | (typeof generatedStep extends fc.Arbitrary<infer Step> ? Step : never)
   | (typeof generatedRestoration extends fc.Arbitrary<infer Step> ? Step : never);
 
+async function performStep(world: LeaseWorld, planned: GeneratedStep): Promise<void> {
+  const changed = world;
+  if ('age' in planned) {
+    changed.isStoreUnreachable = planned.isUnreachableFor > 0;
+    await advance(world, planned.isUnreachableFor);
+    restoreStore(world, planned.age);
+    changed.isStoreUnreachable = false;
+  } else {
+    const end = FAULTS[planned.fault]!(world, world.contenders[planned.contender]!);
+    world.clock.after(planned.lasts, end);
+  }
+  await advance(world, planned.pause);
+}
+
 Then(
   /^(\d+) generated interleavings( with restorations of the store)? never have two holders$/,
   { timeout: 120_000 },
@@ -302,20 +316,9 @@
     const property = fc.asyncProperty(steps, async (plan) => {
       const world = {} as LeaseWorld;
       await startContenders(world);
-      for (const step of plan) {
-        if ('age' in step) {
-          world.isStoreUnreachable = step.isUnreachableFor > 0;
-          await advance(world, step.isUnreachableFor);
-          restoreStore(world, step.age);
-          world.isStoreUnreachable = false;
-          await advance(world, step.pause);
-          continue;
-        }
-        const { contender, fault, lasts, pause } = step;
-        const end = FAULTS[fault]!(world, world.contenders[contender]!);
-        world.clock.after(lasts, end);
+      for (const planned of plan) {
         // eslint-disable-next-line no-await-in-loop -- faults are sequential
-        await advance(world, pause);
+        await performStep(world, planned);
       }
       await advance(world, 20 * SECOND_MILLISECONDS);
       assert.ok(world.maxConcurrentHolders <= 1, 'two holders at once');
