--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -89,7 +89,7 @@
   /** @returns undefined if there is no valid configuration */
   readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
   /** @returns the version that the operators gave a stored configuration; 0 if it has none */
-  readonly rankConfiguration?: (value: unknown) => number;
+  readonly rankConfiguration: (value: unknown) => number;
   /** @returns undefined if the entry does not describe a usable server */
   readonly decodeServer: (name: string, value: unknown) => ServerEntry | undefined;
   /**
@@ -140,8 +140,8 @@
   options: EntryOptions<SomeCall>,
 ): Entry<SomeCall> {
   const { host, clock, logger, store, kinds, bounds, random = Math.random } = options;
-  const { onConfiguration = () => {}, onServers = () => {}, rankConfiguration } = options;
-  const { eras = createEraTracker() } = options;
+  const { onConfiguration = () => {}, onServers = () => {} } = options;
+  const { eras = createEraTracker(), rankConfiguration } = options;
   const self: Incarnation = { host: host.name, incarnation: randomUUID() };
   const stopping = new AbortController();
   const releasing = new AbortController();
@@ -212,6 +212,8 @@
   };
 
   const applyConfiguration = (view: ObjectView<unknown>): void => {
+    const rank = Math.max(...[...view.values()].map(({ value }) => rankConfiguration(value)));
+    if (configuration && rank <= configuration.version) return;
     const next = options.decodeConfiguration(view);
     if (!next || (configuration && next.version <= configuration.version)) return;
     logger.info('configuration in force', { version: next.version, routes: next.routes.length });
@@ -251,7 +253,7 @@
     ...followerOptions,
     kind: kinds.configuration,
     awaitsFirstView: awaitsHubView,
-    ...(rankConfiguration ? { rankOf: rankConfiguration } : {}),
+    rankOf: rankConfiguration,
     onView: applyConfiguration,
   });
   const serverFollower = createKindFollower({
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -10,6 +10,7 @@
   type RelayedState,
   type StatesMessage,
   type SummaryRate,
+  type ViewDetails,
 } from './messages.js';
 import type { OrderLeadership } from './orders.js';
 import type { Quotas } from './quotas.js';
@@ -160,21 +161,23 @@
       .filter((follower) => follower.isWatching())
       .map(({ kind }) => kind);
 
-  const rankByKind = (): Record<string, number> =>
+  const describeViews = (): ViewDetails =>
     Object.fromEntries(
-      followers()
-        .map((follower): [string, number] => [follower.kind, follower.rank()])
-        .filter(([, rank]) => rank > 0),
+      followers().map((follower) => {
+        const { digest = '', rank = 0 } = follower.describe();
+        return [follower.kind, [digest, rank] as const];
+      }),
     );
 
   /** Compares what a linked host has of each kind with what this host has. */
-  const compareVersions = (
+  const compareViews = (
     link: Link,
-    { seen, ranks = {} }: Pick<HostState, 'seen' | 'ranks'>,
+    { seen, views = {} }: Pick<HostState, 'seen' | 'views'>,
   ): void =>
-    followers().forEach((follower) =>
-      follower.receiveVersion(link, seen[follower.kind] ?? 0, ranks[follower.kind]),
-    );
+    followers().forEach((follower) => {
+      const [digest, rank] = views[follower.kind] ?? [];
+      follower.receiveSummary(link, { changedAt: seen[follower.kind] ?? 0, digest, rank });
+    });
 
   const versionByKind = (): Record<string, number> =>
     Object.fromEntries(followers().map((follower) => [follower.kind, follower.changedAt()]));
@@ -188,7 +191,7 @@
       asked: requested,
       orders: leadership().describeLease(),
       seen: versionByKind(),
-      ranks: rankByKind(),
+      views: describeViews(),
       watches: watchedKinds(),
     };
   };
@@ -295,7 +298,7 @@
     running: runningExcept(receiver),
     orders: leadership().newestLease(),
     seen: versionByKind(),
-    ranks: rankByKind(),
+    views: describeViews(),
     watchers: Object.fromEntries(followers().map(({ kind }) => [kind, watchersOf(kind)])),
     unreachable: topology.unreachablePeers(),
   });
@@ -330,7 +333,7 @@
     receiveState: (link, state) => {
       const { peer } = link;
       if (applyState(peer, state, 0, true)) {
-        compareVersions(link, state);
+        compareViews(link, state);
         if (state.summaries === SUMMARY_RATE.OFTEN) recordPendingState(peer, state);
       }
       if (state.summaries) link.send(MESSAGE.SUMMARY, buildSummary(peer.host));
@@ -339,7 +342,7 @@
       relayed.forEach(({ age, state, ...origin }) => {
         const isOwn = origin.host === link.peer.host;
         if (origin.host === self || !applyState(origin, state, age, isOwn) || !isOwn) return;
-        compareVersions(link, state);
+        compareViews(link, state);
       }),
     receiveSummary: (link, summary) => {
       const { peer } = link;
@@ -349,7 +352,7 @@
       quotas.receiveHubTotals(peer, summary.taken, peer.host === primaryHub);
       if (summary.orders)
         leadership().receiveLease(summary.orders.host, summary.orders, summary.orders.age);
-      compareVersions(link, summary);
+      compareViews(link, summary);
     },
     recordRequest: (model, credit) => {
       requestedCredit[model] = (requestedCredit[model] ?? 0) + credit;
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -48,6 +48,9 @@
   readonly sinceOrderAt?: Readonly<Record<string, number>> | undefined;
 }
 
+/** Digest and greatest rank of the objects of each kind. */
+export type ViewDetails = Readonly<Record<string, readonly [digest: string, rank: number]>>;
+
 /** Body of {@link MESSAGE.STATE}. */
 export interface HostState {
   /** Increases with each state of a process; a lower one has been overtaken on another path. */
@@ -61,8 +64,8 @@
   readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
   readonly seen: Readonly<Record<string, number>>;
-  /** Greatest rank of the objects of each kind that has ranks. */
-  readonly ranks?: Readonly<Record<string, number>>;
+  /** Digests and ranks of the followed kinds. */
+  readonly views?: ViewDetails;
   /** Kinds that the host watches in the store, with a recent answer. */
   readonly watches: readonly string[];
   /** How often the host needs summaries from the receiver; absent if it needs none. */
@@ -116,8 +119,8 @@
   readonly orders?: ReportedLease;
   /** Version at which each followed kind last changed. */
   readonly seen: Readonly<Record<string, number>>;
-  /** Greatest rank of the objects of each kind that has ranks. */
-  readonly ranks?: Readonly<Record<string, number>>;
+  /** Digests and ranks of the followed kinds. */
+  readonly views?: ViewDetails;
   /** Names of the hosts that watch the store, by kind. */
   readonly watchers: Readonly<Record<string, readonly string[]>>;
   /** Hosts that should be hubs and are not reachable for this one. */
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -26,18 +26,25 @@
   isWatching(): boolean;
   /** Applies changes broadcast by another host; pulls all objects if earlier ones are missing. */
   receiveChanges(link: Link, message: ChangesMessage): void;
-  /** Greatest rank of an object that this host has; 0 for a kind without ranks. */
-  rank(): number;
-  /**
-   * Compares with the version and the rank of another host, and pulls its objects if this view stays
-   * behind.
-   */
-  receiveVersion(link: Link, changedAt: number, rank?: number): void;
+  /** Summary of this view, to be compared with those of other hosts. */
+  describe(): ViewSummary;
+  /** Compares with the view of another host, and pulls its objects if this view stays behind. */
+  receiveSummary(link: Link, summary: ViewSummary): void;
   /** Returns all objects, for a host that has missed changes. */
   snapshot(): PullAnswer;
   run(signal: AbortSignal): Promise<void>;
 }
 
+/** What a host tells others about its view of one kind. */
+export interface ViewSummary {
+  /** Version at which the view last changed. */
+  readonly changedAt: number;
+  /** Equal for views with the same objects and versions. */
+  readonly digest?: string | undefined;
+  /** Greatest rank of an object; absent for a kind without ranks. */
+  readonly rank?: number | undefined;
+}
+
 /** Options of {@link createKindFollower}. */
 export interface KindFollowerOptions {
   readonly kind: string;
@@ -74,7 +81,7 @@
 /** Time allowed for a broadcast change to arrive before the objects are pulled. */
 const PROPAGATION_MILLISECONDS = 250;
 /** Batch pause of a standby watcher, which receives most changes earlier from the first watcher. */
-const STANDBY_BATCH_MILLISECONDS = 400;
+const STANDBY_BATCH_MILLISECONDS = 1000;
 /** Time after which a standby watcher broadcasts a change not received from another host. */
 const STANDBY_BROADCAST_MILLISECONDS = 100;
 const PULL_TIMEOUT_MILLISECONDS = 1000;
@@ -86,6 +93,19 @@
 /** Time after an outage within which entries reappear in the store. */
 const RECOVERY_MILLISECONDS = 2000;
 
+/** Primes of the two factors that a version contributes to a digest. */
+const DIGEST_PRIMES = [65_521, 65_519] as const;
+
+/** Computes a digest of the names and versions of objects, whatever their order. */
+function computeDigest(view: ObjectView<unknown>): string {
+  const [first, second] = DIGEST_PRIMES;
+  let sum = 0;
+  view.forEach(({ version }) => {
+    sum += (version % first) * (version % second);
+  });
+  return `${view.size}:${sum}`;
+}
+
 /** Creates the follower of one kind; it has no objects until it runs. */
 export function createKindFollower(options: KindFollowerOptions): KindFollower {
   const { kind, store, clock, logger, countBetterRankedWatchers, onView, onChanges } = options;
@@ -94,6 +114,8 @@
   const answerTimeoutMilliseconds =
     watchSeconds * MILLISECONDS_PER_SECOND + ANSWER_MARGIN_MILLISECONDS;
   let view = new Map<string, StoredObject>();
+  /** Digest of the view; undefined until it is needed after a change. */
+  let digest: string | undefined;
   let changedAt = 0;
   let isFailing = false;
   let isPulling = false;
@@ -110,6 +132,11 @@
   const rankOfObject = (object: StoredObject | undefined): number =>
     object && rankOf ? rankOf(object.value) : 0;
 
+  const describe = (): ViewSummary => {
+    digest ??= computeDigest(view);
+    return { changedAt, digest, ...(rankOf ? { rank: rank() } : {}) };
+  };
+
   const rank = (): number => Math.max(0, ...[...view.values()].map(rankOfObject));
 
   /** Takes an object from the store, with the known value if that one ranks higher. */
@@ -127,6 +154,7 @@
       if (rankOfObject(known) > 0 && !merged.has(name)) merged.set(name, known);
     });
     view = merged;
+    digest = undefined;
     changedAt = version;
     onView(view);
   };
@@ -137,6 +165,7 @@
       if (value !== undefined) view.set(name, mergeObject({ name, version: changed, value }));
       else if (rankOfObject(view.get(name)) === 0) view.delete(name);
     });
+    digest = undefined;
     changedAt = version;
     onView(view);
   };
@@ -172,6 +201,7 @@
           if (rankOfObject(object) > rankOfObject(known))
             view.set(name, { ...object, version: known?.version ?? object.version });
         });
+        digest = undefined;
         onView(view);
       }
     } catch (error) {
@@ -243,7 +273,7 @@
     kind,
     changedAt: () => changedAt,
     isWatching,
-    rank,
+    describe,
     receiveChanges: (link, message) => {
       eras.learn(eraOf(message.changedAt));
       receivedVersion = Math.max(receivedVersion, message.changedAt);
@@ -251,8 +281,12 @@
       if (message.since > changedAt) pull(link).catch(() => {});
       else applyChanges(message.changes, message.changedAt);
     },
-    receiveVersion: (link, version, otherRank = 0) => {
+    receiveSummary: (link, summary) => {
+      const { changedAt: version, rank: otherRank = 0 } = summary;
       eras.learn(eraOf(version));
+      // Hosts that list the same objects at different times differ in the version of their lists.
+      if (version > changedAt && changedAt > 0 && summary.digest === describe().digest)
+        changedAt = version;
       const isBehind = (): boolean => version > changedAt || otherRank > rank();
       if (!isBehind()) return;
       clock.after(changedAt === 0 ? 0 : PROPAGATION_MILLISECONDS, () => {
--- a/packages/entry/test/source.ts
+++ b/packages/entry/test/source.ts
@@ -163,7 +163,7 @@
       else {
         host.isWatchingByHost.set(other.number, other.follower.isWatching());
         const { follower } = other;
-        host.follower.receiveVersion(linkTo(world, other), follower.changedAt(), follower.rank());
+        host.follower.receiveSummary(linkTo(world, other), follower.describe());
       }
     });
   });
