--- a/packages/loading/src/adapters.ts
+++ b/packages/loading/src/adapters.ts
@@ -1,7 +1,7 @@
 /** Loads adapters on servers on which their base model is resident. */
 import type { EngineProfile } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
-import type { ServerState } from './book.js';
+import { isUnloadingAdapter, type ServerState } from './book.js';
 import { ORDER_OPERATION, ORDER_OUTCOME } from './engine.js';
 import { hasRoom, type SendOrder } from './issue.js';
 
@@ -41,7 +41,7 @@
    */
   const pendingLoads = new Map<string, Promise<boolean>>();
 
-  const adapterKey = (state: ServerState, model: string, adapter: string): string =>
+  const loadKey = (state: ServerState, model: string, adapter: string): string =>
     `${state.entry.id} ${model}/${adapter}`;
 
   const waitForReplacement = async (state: ServerState): Promise<void> => {
@@ -57,7 +57,7 @@
       [...adapters].map((adapter) => ({ model, adapter })),
     );
     const lastUse = ({ model, adapter }: { model: string; adapter: string }): number =>
-      lastUsedAt.get(adapterKey(state, model, adapter)) ?? 0;
+      lastUsedAt.get(loadKey(state, model, adapter)) ?? 0;
     const leastRecentlyUsed = held.sort((a, b) => lastUse(a) - lastUse(b))[0];
     if (leastRecentlyUsed)
       await sendOrder(state, { operation: ORDER_OPERATION.UNLOAD, ...leastRecentlyUsed });
@@ -74,7 +74,8 @@
     if (!held) return false;
     if (held.has(adapter)) return true;
     const request = { operation: ORDER_OPERATION.LOAD, model, adapter } as const;
-    if (!hasRoom(state, engine, request)) await evictLeastRecentlyUsed(state);
+    if (!hasRoom(state, engine, request) && !isUnloadingAdapter(state))
+      await evictLeastRecentlyUsed(state);
     if (!hasRoom(state, engine, request)) return false;
     const outcome = await sendOrder(state, request);
     return outcome === ORDER_OUTCOME.ACCEPTED || outcome === ORDER_OUTCOME.HOLDS;
@@ -82,7 +83,7 @@
 
   return {
     ensureLoaded: (state, engine, model, adapter) => {
-      const key = adapterKey(state, model, adapter);
+      const key = loadKey(state, model, adapter);
       lastUsedAt.set(key, clock.monotonic());
       const pendingLoad = pendingLoads.get(key);
       if (pendingLoad) return pendingLoad;
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -14,6 +14,11 @@
   pendingOrder?: PendingOrder;
   /** Loads without an answer; the server may still execute them until its sequence advances. */
   unconfirmedLoads: { model: string; adapter?: string }[];
+  /**
+   * When the server accepted to unload an adapter that requests still use, by model and adapter. The
+   * adapter keeps its slot until a report shows that it is gone.
+   */
+  readonly unloadingAdapters: Map<string, number>;
   /** When each model was loaded on this server, by the monotonic clock. */
   readonly loadedAt: Map<string, number>;
   /** Time before which no order is sent, by the monotonic clock. */
@@ -74,6 +79,7 @@
     sequence: undefined,
     models: adaptersByModel(entry),
     unconfirmedLoads: [],
+    unloadingAdapters: new Map(),
     loadedAt: new Map(),
     ordersPausedUntil: 0,
     hasForeignOrder: false,
@@ -180,11 +186,36 @@
     return;
   }
   updated.hasForeignOrder = false;
+  removeUnloadedAdapters(updated, models);
   if (pendingOrder && (report.busy || !showsCompletion(pendingOrder, models))) return;
   if (pendingOrder) completePendingOrder(updated, clock);
   updated.models = models;
 }
 
+/** Key of an adapter in {@link ServerState.unloadingAdapters}. */
+export const adapterKey = (model: string, adapter: string): string => `${model}/${adapter}`;
+
+/** Returns whether a server is to unload an adapter as soon as no request uses it. */
+export function isUnloadingAdapter({ models, unloadingAdapters }: ServerState): boolean {
+  return [...models].some(([model, adapters]) =>
+    [...adapters].some((adapter) => unloadingAdapters.has(adapterKey(model, adapter))),
+  );
+}
+
+function removeUnloadedAdapters(
+  { unloadingAdapters }: ServerState,
+  models: ReadonlyMap<string, ReadonlySet<string>>,
+): void {
+  const held = new Set(
+    [...models].flatMap(([model, adapters]) =>
+      [...adapters].map((adapter) => adapterKey(model, adapter)),
+    ),
+  );
+  [...unloadingAdapters.keys()].forEach((key) => {
+    if (!held.has(key)) unloadingAdapters.delete(key);
+  });
+}
+
 /** Returns the memory in use by models and adapters, including pending and unconfirmed loads. */
 export function usedMegabytes(state: ServerState, profile: EngineProfile): number {
   let sum = unconfirmedMegabytes(state, profile);
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
-import { applyReport, usedMegabytes, type ServerState } from './book.js';
+import { adapterKey, applyReport, usedMegabytes, type ServerState } from './book.js';
 import {
   ORDER_OPERATION,
   ORDER_OUTCOME,
@@ -32,6 +32,8 @@
 const CONFLICT_PAUSE_MILLISECONDS = 300;
 /** Pause in orders to a server after an order without an answer. */
 const UNKNOWN_OUTCOME_PAUSE_MILLISECONDS = 250;
+/** Interval of the reports while a server waits to unload an adapter; longer than reports lag. */
+const UNLOAD_REPORT_INTERVAL_MILLISECONDS = 600;
 /** Pause in orders to a server after it rejected one. */
 const REJECTION_PAUSE_MILLISECONDS = 1000;
 
@@ -83,8 +85,10 @@
   const { clock, control, logger, holder, fencing, profile } = options;
   const queues = new Map<string, Promise<unknown>>();
   const refreshing = new Set<ServerState>();
+  const reportRequestedAt = new WeakMap<ServerState, number>();
 
   const requestReport = async (state: ServerState): Promise<void> => {
+    reportRequestedAt.set(state, clock.monotonic());
     try {
       applyReport(state, await control.report(state.entry), clock);
     } catch (error) {
@@ -95,6 +99,15 @@
     }
   };
 
+  /** Whether an adapter that was in use may be gone, so that a report is due. */
+  const mayHaveUnloaded = (state: ServerState): boolean => {
+    if (state.unloadingAdapters.size === 0) return false;
+    const now = clock.monotonic();
+    const sinceRequested = now - (reportRequestedAt.get(state) ?? -Infinity);
+    const [acceptedAt = now] = state.unloadingAdapters.values();
+    return Math.min(sinceRequested, now - acceptedAt) > UNLOAD_REPORT_INTERVAL_MILLISECONDS;
+  };
+
   const pauseOrders = (state: ServerState, milliseconds: number): void => {
     Object.assign(state, { ordersPausedUntil: clock.monotonic() + milliseconds });
   };
@@ -133,6 +146,9 @@
     if (adapter === undefined) return;
     const held = updated.models.get(model);
     if (isLoad) held?.add(adapter);
+    // The server waits for the requests that use the adapter.
+    else if (outcome === ORDER_OUTCOME.ACCEPTED)
+      updated.unloadingAdapters.set(adapterKey(model, adapter), clock.monotonic());
     else held?.delete(adapter);
   };
 
@@ -194,7 +210,8 @@
   return {
     sendOrder: (state, request) => enqueue(state, () => sendAndRefreshOnConflict(state, request)),
     refreshState: (state) => {
-      if (state.sequence !== undefined || refreshing.has(state)) return;
+      if (refreshing.has(state)) return;
+      if (state.sequence !== undefined && !mayHaveUnloaded(state)) return;
       if (clock.monotonic() < state.ordersPausedUntil) return;
       refreshing.add(state);
       enqueue(state, () => requestReport(state)).finally(() => refreshing.delete(state));
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -82,3 +82,13 @@
     And unloads take 400 ms
     When requests wait for "d" for 2 s
     Then the servers started 1 load
+
+  Scenario: An adapter is evicted while its requests still run
+    Given a server and its coordinator
+    When adapters "1 2 3 4 5 6 7 8" of "a" are requested at once
+    And all adapters are in use for the next 2 s
+    And adapters "9" of "a" are requested at once
+    Then no order exceeded the server's capacity
+
+  Scenario: Any sequence of wants, lost and late answers, restarts and changes of the lease
+    Then 400 generated sequences of events never exceed the server's capacity
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -1,6 +1,7 @@
 /** Steps for the coordinator with a fake server that behaves like the real engines. */
 import assert from 'node:assert/strict';
 import { After, Before, Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
 import type { EngineProfile, ServerEntry } from '@bulrushspar/catalogue';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import type { Logger } from '@bulrushspar/logging';
@@ -40,6 +41,8 @@
   unloadMilliseconds: number;
   /** Number of next orders that the server accepts without incrementing its sequence. */
   uncountedOrders: number;
+  /** Time on the clock until which every adapter has running requests. */
+  adaptersInUseUntil: number;
   restart(): void;
   startOrder(order: Pick<Order, 'operation' | 'model'>, milliseconds: number): void;
 }
@@ -133,8 +136,21 @@
       );
       return ORDER_OUTCOME.ACCEPTED;
     }
+    const adapters = engine.models.get(model);
+    if (!adapters) return ORDER_OUTCOME.REJECTED;
     if (isCounted) sequence += 1;
-    const adapters = engine.models.get(model)!;
+    const inUseFor = engine.adaptersInUseUntil - clock.monotonic();
+    if (operation === ORDER_OPERATION.UNLOAD && inUseFor > 0) {
+      const start = born;
+      // The unload waits until no request uses the adapter; the server accepts other orders.
+      clock.after(inUseFor, () => {
+        if (start !== born) return;
+        adapters.delete(adapter);
+        recordReport();
+      });
+      recordReport();
+      return ORDER_OUTCOME.ACCEPTED;
+    }
     if (operation === ORDER_OPERATION.LOAD) adapters.add(adapter);
     else adapters.delete(adapter);
     const count = [...engine.models.values()].reduce((sum, held) => sum + held.size, 0);
@@ -156,6 +172,7 @@
     lateExecutionMilliseconds: undefined,
     unloadMilliseconds: 20,
     uncountedOrders: 0,
+    adaptersInUseUntil: 0,
     startOrder,
     entry: () => ({
       id,
@@ -358,3 +375,75 @@
     assert.equal(this.fakeEngine.receivedOrders, count);
   },
 );
+
+Given(
+  'all adapters are in use for the next {int} s',
+  function use(this: CoordinatorWorld, seconds: number) {
+    this.fakeEngine.adaptersInUseUntil = this.clock.monotonic() + seconds * 1000;
+  },
+);
+
+const generatedEvent = fc.oneof(
+  fc.record({ wantedModel: fc.constantFrom('a', 'b', 'c', 'd') }),
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      wantedAdapter: fc.integer({ min: 1, max: 14 }),
+      model: fc.constantFrom('a', 'b', 'c'),
+    }),
+  },
+  fc.record({
+    unansweredOrders: fc.integer({ min: 1, max: 3 }),
+    lateMilliseconds: fc.option(fc.integer({ min: 0, max: 12_000 }), { nil: undefined }),
+  }),
+  fc.record({ inUseMilliseconds: fc.integer({ min: 50, max: 6000 }) }),
+  fc.record({ event: fc.constantFrom('restart', 'lose the lease', 'take the lease') }),
+);
+const generatedPlan = fc.array(fc.tuple(generatedEvent, fc.integer({ min: 0, max: 1500 })), {
+  minLength: 5,
+  maxLength: 40,
+});
+type GeneratedEvent = typeof generatedEvent extends fc.Arbitrary<infer Event> ? Event : never;
+
+function performEvent(world: CoordinatorWorld, event: GeneratedEvent): void {
+  const { clock, fakeEngine, coordinator } = world;
+  if ('wantedModel' in event) {
+    const want = { model: event.wantedModel, count: 2, credit: 2, objectiveMilliseconds: 1000 };
+    coordinator.setWants('host-1', [want]);
+  } else if ('wantedAdapter' in event) {
+    coordinator
+      .ensureAdapter(fakeEngine.id, event.model, String(event.wantedAdapter))
+      .catch(() => {});
+  } else if ('unansweredOrders' in event) {
+    fakeEngine.unansweredOrders = event.unansweredOrders;
+    fakeEngine.lateExecutionMilliseconds = event.lateMilliseconds;
+  } else if ('inUseMilliseconds' in event) {
+    fakeEngine.adaptersInUseUntil = clock.monotonic() + event.inUseMilliseconds;
+  } else if (event.event === 'restart') fakeEngine.restart();
+  else Object.assign(world, { holdsLease: event.event === 'take the lease' });
+}
+
+Then(
+  "{int} generated sequences of events never exceed the server's capacity",
+  { timeout: 120_000 },
+  async (numRuns: number) => {
+    const property = fc.asyncProperty(generatedPlan, async (plan) => {
+      const clock = createManualClock();
+      const fakeEngine = createFakeEngine(clock, 's1');
+      const world = { clock, fakeEngine, holdsLease: true } as CoordinatorWorld;
+      startCoordinator(world);
+      for (const [event, pauseMilliseconds] of plan) {
+        performEvent(world, event);
+        for (let passed = 0; passed <= pauseMilliseconds; passed += STEP_MILLISECONDS) {
+          // eslint-disable-next-line no-await-in-loop -- the clock advances sequentially
+          await clock.advance(STEP_MILLISECONDS);
+          world.coordinator.setServers(serverEntries(world));
+        }
+      }
+      await clock.advance(20_000);
+      world.coordinator.stop();
+      assert.equal(fakeEngine.overfullOrders, 0);
+    });
+    await fc.assert(property, { numRuns, seed: 20_261_204 });
+  },
+);
