--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -14,6 +14,8 @@
   readonly address: string;
   readonly failureDomain: string;
   readonly slots: number;
+  /** Version of the server's software; what different versions write does not fit together. */
+  readonly softwareVersion?: string | undefined;
   /** Draining: accepts no new requests and stops soon. */
   readonly leaving: boolean;
   /** Unix time of the server's start, in milliseconds; distinguishes restarts with the same id. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -22,6 +22,7 @@
   createServerStates,
   createServingMetrics,
   createStoppingRefusal,
+  createStreamVersions,
   type Call,
   type SendCall,
   type RequestHandler,
@@ -174,10 +175,16 @@
   const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
+  const streams = createStreamVersions({
+    clock,
+    onBegun: (stream) => fleet.broadcast(MESSAGE.BEGUN, stream),
+  });
+
   const directory = createServerDirectory({
     clock,
     onChange: (view) => {
       servers.update(view);
+      streams.updateServers(view);
       leadership.setServers(view);
       onServers(view);
       waits.endReadyWaits(isLoaded);
@@ -337,6 +344,7 @@
     suspects,
     servers,
     directory,
+    streams,
     receiveOutlook,
   });
 
@@ -402,6 +410,7 @@
     budget: retryBudget,
     suspects,
     send: options.send,
+    streams,
     onNotice: applyNotice,
     ensureAdapter,
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -3,13 +3,14 @@
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
 import type { SuspectTracker } from '@bulrushspar/routing';
-import type { ServerStates } from '@bulrushspar/serving';
+import type { ServerStates, StreamVersions } from '@bulrushspar/serving';
 import type { Fleet } from './fleet.js';
 import type { Forwarding } from './forward.js';
 import type { Gossip } from './gossip.js';
 import {
   MESSAGE,
   type AdapterMessage,
+  type BegunMessage,
   type ChangesMessage,
   type DepartureMessage,
   type FleetSummary,
@@ -35,6 +36,7 @@
   readonly suspects: SuspectTracker;
   readonly servers: ServerStates;
   readonly directory: ServerDirectory;
+  readonly streams: StreamVersions;
   readonly receiveOutlook: (outlook: readonly Outlook[]) => void;
 }
 
@@ -49,6 +51,7 @@
     suspects,
     servers,
     directory,
+    streams,
     receiveOutlook,
   } = options;
 
@@ -90,6 +93,11 @@
       servers.recordUnloadOrder(server, model);
       fleet().relay(MESSAGE.UNLOADING, body as UnloadingMessage, from.host);
     },
+    [MESSAGE.BEGUN]: (body, from) => {
+      const { isRelayed: _isRelayed, ...stream } = body as BegunMessage;
+      streams.applyReport(stream);
+      fleet().relay(MESSAGE.BEGUN, body as BegunMessage, from.host);
+    },
     [MESSAGE.DEPARTURE]: (body, from) => {
       const departure = body as DepartureMessage;
       // Several hosts may have told the same; each host passes it on once.
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,7 @@
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { SuspectUpdate } from '@bulrushspar/routing';
+import type { BegunStream } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
 import type { RunningRequests } from './totals.js';
 
@@ -24,6 +25,8 @@
   ADAPTER: 'adapter',
   /** A server is about to unload a model; sent by the leader. */
   UNLOADING: 'unloading',
+  /** A server has sent the first event of a stream, while a service has several versions. */
+  BEGUN: 'begun',
   /** A server has told the sender that it is leaving. */
   DEPARTURE: 'departure',
   /** Changes to the objects of a kind; sent by the hosts that watch the store. */
@@ -149,6 +152,9 @@
 /** Body of {@link MESSAGE.DEPARTURE}. */
 export type DepartureMessage = ServerDeparture & Relayed;
 
+/** Body of {@link MESSAGE.BEGUN}. */
+export type BegunMessage = BegunStream & Relayed;
+
 /** Body of {@link MESSAGE.CHANGES}. */
 export interface ChangesMessage extends Relayed {
   readonly kind: string;
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,5 +1,5 @@
 /** Attempts of one request: selects servers, sends the request and handles failures. */
-import type { ServerEntry } from '@bulrushspar/catalogue';
+import { ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
 import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -25,8 +25,10 @@
   createNoAdapterRefusal,
   createNoServerRefusal,
   createServersClosedRefusal,
+  createVersionGoneRefusal,
   createWaitRefusal,
 } from './refusals.js';
+import type { StreamVersions } from './streams.js';
 import { WAIT_END, type ModelWaits } from './waits.js';
 
 /** An admitted request that has not been answered yet. */
@@ -44,6 +46,8 @@
   sendCount: number;
   /** Number of servers that may have run the request. */
   possibleRunCount: number;
+  /** Software version at which the stream must go on, once it has begun. */
+  requiredVersion: string | undefined;
 }
 
 /** Sends each request to servers until one of them answers it. */
@@ -69,6 +73,8 @@
   readonly budget: RetryBudget;
   readonly suspects: SuspectTracker;
   readonly send: SendCall<SomeCall>;
+  /** Which software version began each stream. */
+  readonly streams: StreamVersions;
   /** Called with what a server tells about itself, before its answer is passed on. */
   readonly onNotice?: (server: ServerEntry, notice: ServerNotice) => void;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
@@ -108,17 +114,24 @@
   options: AttemptRunnerOptions<SomeCall>,
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, budget, suspects, send, ensureAdapter, onNotice = () => {} } = options;
+  const { waits, budget, suspects, send, streams, ensureAdapter, onNotice = () => {} } = options;
 
-  const trySelectServer = (
-    { admitted, call, triedServers }: ActiveRequest<SomeCall>,
-    allowTried: boolean,
-  ) =>
+  /** Servers of the request's service; for a stream that has begun only those of its version. */
+  const listServers = ({
+    admitted,
+    requiredVersion,
+  }: ActiveRequest<SomeCall>): readonly ServerState[] => {
+    const all = servers.ofService(admitted.service);
+    if (requiredVersion === undefined) return all;
+    return all.filter(({ entry }) => entry.softwareVersion === requiredVersion);
+  };
+
+  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) =>
     selectServer({
-      candidates: servers.ofService(admitted.service),
-      requirements: call.requirements,
+      candidates: listServers(request),
+      requirements: request.call.requirements,
       failureDomain,
-      excluded: allowTried ? new Set() : triedServers,
+      excluded: allowTried ? new Set() : request.triedServers,
       now: clock.monotonic(),
       canServeModel: servers.canServeModel,
       hasAdapter: servers.hasAdapter,
@@ -131,8 +144,10 @@
     { model }: ModelRequirements,
   ): Promise<void> => {
     const { admitted, signal } = request;
-    if (servers.ofService(admitted.service).some((state) => servers.canServeModel(state, model)))
-      return;
+    if (listServers(request).some((state) => servers.canServeModel(state, model))) return;
+    // Loads are not planned by version, so that a wait might never end.
+    if (request.requiredVersion !== undefined)
+      throw createVersionGoneRefusal(request.requiredVersion);
     const sinceStart = startStopwatch(clock);
     const { route } = admitted;
     const elapsed = request.elapsedMilliseconds();
@@ -174,10 +189,9 @@
    * Returns the time until the first of the servers that could run the request accepts it again;
    * undefined if none of them is closed to this host.
    */
-  const closedMilliseconds = ({ admitted, call }: ActiveRequest<SomeCall>): number | undefined => {
-    const { requirements } = call;
-    const remaining = servers
-      .ofService(admitted.service)
+  const closedMilliseconds = (request: ActiveRequest<SomeCall>): number | undefined => {
+    const { requirements } = request.call;
+    const remaining = listServers(request)
       .filter((state) =>
         requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving,
       )
@@ -294,7 +308,10 @@
             if (head.notice) onNotice(state.entry, head.notice);
             sink.onHead(head, flow);
           },
-          onData: sink.onData,
+          onData: (chunk) => {
+            sink.onData(chunk);
+            recordBegun(request, state);
+          },
         },
         AbortSignal.any([signal, silenceController.signal]),
       );
@@ -305,6 +322,17 @@
     }
   };
 
+  /** Binds a stream that may be taken up again to the version of the server that began it. */
+  const recordBegun = (request: ActiveRequest<SomeCall>, { entry }: ServerState): void => {
+    const { softwareVersion, service } = entry;
+    const { route } = request.admitted;
+    const isResumable = route.kind === ROUTE_KIND.STREAM && route.resumable;
+    if (!isResumable || request.requiredVersion !== undefined || !request.reply.hasBegun()) return;
+    if (softwareVersion === undefined) return;
+    Object.assign(request, { requiredVersion: softwareVersion });
+    streams.recordBegun({ attempt: request.call.id, service, softwareVersion });
+  };
+
   const recordLoad = (state: ServerState, { load }: AnswerHead): void => {
     const changed = state;
     if (load) changed.reportedLoad = { ...load, at: clock.monotonic() };
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -28,6 +28,8 @@
   readonly tokens?: number;
   /** Id of the last event that the caller received of an interrupted answer. */
   readonly lastEventId?: string;
+  /** Id of the caller's attempt that received the first event of an interrupted answer. */
+  readonly resumes?: string;
   /** @returns a hash that is equal for requests with the same content */
   fingerprint(): string;
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -45,6 +45,13 @@
 export { createServingMetrics, type ServingMetrics } from './metrics.js';
 export { createStoppingRefusal } from './refusals.js';
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
+export {
+  createStreamVersions,
+  type BegunStream,
+  type StreamRequirement,
+  type StreamVersions,
+  type StreamVersionsOptions,
+} from './streams.js';
 export { createServerStates, type ServerState, type ServerStates } from './servers.js';
 export {
   createModelWaits,
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -92,6 +92,22 @@
     milliseconds / MILLISECONDS_PER_SECOND,
   );
 
+/** Creates the refusal of a stream that must go on at a software version that no server has. */
+export const createVersionGoneRefusal = (softwareVersion: string): Refusal =>
+  createNoCapacityRefusal(
+    503,
+    `no server of software version "${softwareVersion}", which began the stream, can go on with it`,
+    NO_SERVER_RETRY_SECONDS,
+  );
+
+/** Creates the refusal of a stream of which this host does not know which version began it. */
+export const createVersionUnknownRefusal = (): Refusal =>
+  createNoCapacityRefusal(
+    503,
+    'it is not known which software version began the stream',
+    NO_SERVER_RETRY_SECONDS,
+  );
+
 /** Creates the refusal of a request that no server of its service accepts. */
 export const createNoServerRefusal = (service: string): Refusal =>
   createNoCapacityRefusal(
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -6,7 +6,11 @@
 import type { Admission, AdmittedRequest } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
 import { createAttemptRunner, type AttemptRunnerOptions, type ActiveRequest } from './attempts.js';
-import { createCallerGoneRefusal, createTargetFailedRefusal } from './refusals.js';
+import {
+  createCallerGoneRefusal,
+  createTargetFailedRefusal,
+  createVersionUnknownRefusal,
+} from './refusals.js';
 import type { Call, Reply } from './call.js';
 
 /** Answers or refuses one request; never rejects. */
@@ -43,7 +47,8 @@
 export function createRequestHandler<SomeCall extends Call>(
   options: RequestHandlerOptions<SomeCall>,
 ): RequestHandler<SomeCall> {
-  const { clock, logger, metrics, admission, demand, suspects, getStoppingRefusal } = options;
+  const { clock, logger, metrics, admission, demand, suspects, streams } = options;
+  const { getStoppingRefusal } = options;
   const attemptRunner = createAttemptRunner(options);
 
   const refuse = (call: SomeCall, reply: Reply, error: unknown, milliseconds: number): void => {
@@ -103,6 +108,14 @@
     return { signal: controller.signal, cancel };
   };
 
+  /** Returns the software version at which a stream must go on that the caller takes up again. */
+  const findRequiredVersion = (call: SomeCall, { service }: AdmittedRequest) => {
+    if (call.resumes === undefined || call.lastEventId === undefined) return undefined;
+    const requirement = streams.requirementOf(service, call.resumes);
+    if (!requirement.isKnown) throw createVersionUnknownRefusal();
+    return requirement.softwareVersion;
+  };
+
   const serveAdmitted = async (
     call: SomeCall,
     reply: Reply,
@@ -137,6 +150,7 @@
       triedServers: new Set(),
       sendCount: 0,
       possibleRunCount: 0,
+      requiredVersion: findRequiredVersion(call, admitted),
     };
     if (call.requirements) demand.recordRequests(call.requirements.model, 1);
     try {
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -137,3 +137,45 @@
     When the same request is served 9 times
     Then the server that left received 1 request
     And the caller gets 200 whole
+
+  Scenario Outline: A stream goes on only at the software version that began it
+    Given a resumable route
+    And the servers have the software versions "<versions>"
+    And servers that one after another stream up to 3 and are cut, stream
+    When a request is served
+    Then the caller gets events 12345 end
+    And all servers that received it have the same version
+
+    Examples:
+      | versions |
+      | 1 1 1    |
+      | 2 2 1    |
+      | 1 2 2    |
+      | 1 2 3    |
+
+  Scenario Outline: A caller takes up a stream at another host
+    Given a resumable route
+    And the servers have the software versions "<versions>"
+    And another host has reported that version "<began>" began the stream of attempt "a-1"
+    And the caller takes up the stream of attempt "<resumes>" after event 2
+    And servers that one after another stream
+    When a request is served
+    Then the caller gets <answer>
+    And only servers of version "<began>" received it
+
+    Examples:
+      | versions | began | resumes | answer               |
+      | 1 1 2    | 1     | a-1     | events 345 end       |
+      | 1 1 2    | 2     | a-1     | events 345 end       |
+      | 1 1 2    | 3     | a-1     | 503 with retry-after |
+      | 1 1 2    | 1     | a-2     | 503 with retry-after |
+      | 1 1 1    | 1     | a-2     | events 345 end       |
+
+  Scenario: A stream whose version is gone is refused at once, although other servers hold its model
+    Given a resumable route
+    And the servers have the software versions "2 2 2"
+    And another host has reported that version "1" began the stream of attempt "a-1"
+    And the caller takes up the stream of attempt "a-1" after event 2
+    When a request is served
+    Then the caller gets 503 with retry-after
+    And it took at most 20 ms
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -12,11 +12,13 @@
   createRequestHandler,
   createServerStates,
   createServingMetrics,
+  createStreamVersions,
   type AnswerSink,
   type Attempt,
   type Call,
   type ModelWaits,
   type Reply,
+  type StreamVersions,
 } from '@bulrushspar/serving';
 import { createReplicatedBucket, createRetryBudget } from '@bulrushspar/shares';
 import { EXCHANGE_FAULT, EXCHANGE_PROGRESS } from '@bulrushspar/targets';
@@ -36,6 +38,10 @@
   elapsedMilliseconds: number;
   /** Number of requests that each server received. */
   sendsByServer: Map<string, number>;
+  streams: StreamVersions;
+  /** Software versions of the servers, in the order of their names. */
+  softwareVersions: (string | undefined)[];
+  resumes: { readonly attempt: string; readonly lastEventId: string } | undefined;
   departedServer: string | undefined;
 }
 
@@ -147,8 +153,9 @@
     signal.addEventListener('abort', end, { once: true });
   });
 
-const entry = (id: string, loaded: boolean): ServerEntry => ({
+const entry = (id: string, loaded: boolean, softwareVersion?: string): ServerEntry => ({
   id,
+  softwareVersion,
   service: 'llm',
   address: '127.0.0.1:1',
   failureDomain: 'd1',
@@ -186,7 +193,14 @@
 function createTestHandler(world: ServingWorld) {
   const { clock } = world;
   const states = createServerStates(clock);
-  states.update(new Map(['s1', 's2', 's3'].map((id) => [id, entry(id, world.loaded)])));
+  const entries = new Map(
+    ['s1', 's2', 's3'].map((id, index) => [
+      id,
+      entry(id, world.loaded, world.softwareVersions[index]),
+    ]),
+  );
+  states.update(entries);
+  world.streams.updateServers(entries);
   const bucket = createReplicatedBucket({
     clock,
     limits: { perSecond: 0.1, burst: world.quota ?? 1 },
@@ -224,15 +238,16 @@
       hosts: () => 1,
     }),
     suspects: createSuspectTracker({ clock }),
+    streams: world.streams,
     ensureAdapter: () => Promise.resolve(true),
     getStoppingRefusal: () => undefined,
     onNotice: ({ id }, { isLeaving, closedMilliseconds }) => {
       if (closedMilliseconds !== undefined) states.close(id, closedMilliseconds);
       if (!isLeaving) return;
       changed.departedServer = id;
-      const entries = [...states.all()].map((state) => state.entry);
+      const listed = [...states.all()].map((state) => state.entry);
       states.update(
-        new Map(entries.map((known) => [known.id, { ...known, leaving: known.id === id }])),
+        new Map(listed.map((known) => [known.id, { ...known, leaving: known.id === id }])),
       );
     },
     send: async (_call, attempt, sink, signal) => {
@@ -258,6 +273,9 @@
   path: '/r/1',
   key: 'key',
   ...(world.route.kind === 'stream' ? { requirements: { model: 'm', promptParts: [] } } : {}),
+  ...(world.resumes
+    ? { resumes: world.resumes.attempt, lastEventId: world.resumes.lastEventId }
+    : {}),
   fingerprint: () => 'content',
 });
 
@@ -281,8 +299,12 @@
 
 Before('@serving', function reset(this: ServingWorld) {
   const empty = { sends: 0, activeSends: 0, loaded: true, quota: undefined };
+  const clock = createManualClock();
   Object.assign(this, {
-    clock: createManualClock(),
+    clock,
+    streams: createStreamVersions({ clock }),
+    softwareVersions: [],
+    resumes: undefined,
     outlook: undefined,
     stopsAfterMilliseconds: undefined,
     sendsByServer: new Map(),
@@ -419,3 +441,41 @@
     assert.equal(this.sendsByServer.get(this.departedServer!), count);
   },
 );
+
+Given(
+  'the servers have the software versions {string}',
+  function versions(this: ServingWorld, list: string) {
+    this.softwareVersions = list.split(' ');
+  },
+);
+
+Given(
+  'another host has reported that version {string} began the stream of attempt {string}',
+  function report(this: ServingWorld, softwareVersion: string, attempt: string) {
+    this.streams.applyReport({ attempt, service: 'llm', softwareVersion });
+  },
+);
+
+Given(
+  'the caller takes up the stream of attempt {string} after event {int}',
+  function resume(this: ServingWorld, attempt: string, lastEventId: number) {
+    this.resumes = { attempt, lastEventId: String(lastEventId) };
+  },
+);
+
+Then('all servers that received it have the same version', function check(this: ServingWorld) {
+  const versions = [...this.sendsByServer.keys()].map(
+    (id) => this.softwareVersions[['s1', 's2', 's3'].indexOf(id)],
+  );
+  assert.equal(new Set(versions).size, 1);
+});
+
+Then(
+  'only servers of version {string} received it',
+  function check(this: ServingWorld, version: string) {
+    const servers = ['s1', 's2', 's3'].filter(
+      (_id, index) => this.softwareVersions[index] === version,
+    );
+    [...this.sendsByServer.keys()].forEach((id) => assert(servers.includes(id), id));
+  },
+);
