--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -261,15 +261,15 @@
   };
 
   /**
-   * Aborts the attempt if the server sends no response head in time and another server may run the
-   * request. @returns a function that cancels the timeout
+   * Aborts the attempt if the server sends no response head in time and another attempt is permitted;
+   * the last one may answer until the deadline. @returns a function that cancels the timeout
    */
   const startSilenceTimeout = (
     request: ActiveRequest<SomeCall>,
     silenceController: AbortController,
   ): (() => void) => {
     const { route } = request.admitted;
-    if (!isRetryable(route) || request.possibleRunCount >= route.attempts) return () => {};
+    if (!mayRetry(request)) return () => {};
     const milliseconds = Math.max(
       MIN_SILENCE_TIMEOUT_MILLISECONDS,
       Math.min(
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -28,6 +28,8 @@
       | idempotent | answer unsigned, answer        | 200 whole | 2     |
       | idempotent | are cut, are cut, answer       | 502       | 2     |
       | idempotent | are silent, answer             | 200 whole | 2     |
+      | idempotent | are silent, answer after 400 ms | 200 whole | 2    |
+      | single     | answer after 700 ms            | 200 whole | 1     |
 
     Examples: streams
       | kind      | behave                              | answer            | sends |
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -62,6 +62,7 @@
 const ROUTES: Readonly<Record<string, Partial<Route>>> = {
   once: { kind: 'once', attempts: 1 },
   idempotent: { kind: 'idempotent', attempts: 2 },
+  single: { kind: 'idempotent', attempts: 1 },
   stream: { kind: 'stream', attempts: 1 },
   resumable: { kind: 'stream', attempts: 2, resumable: true, timeoutMilliseconds: 17_000 },
 };
@@ -259,7 +260,9 @@
       try {
         await clock.delay(5);
         if (behaviour === 'are silent') await rejectOnAbort(signal);
-        behave(behaviour, sink, attempt);
+        const late = /^answer after (\d+) ms$/.exec(behaviour);
+        if (late) await Promise.race([clock.delay(Number(late[1])), rejectOnAbort(signal)]);
+        behave(late ? 'answer' : behaviour, sink, attempt);
       } finally {
         changed.activeSends -= 1;
       }
@@ -314,7 +317,7 @@
 });
 
 Given(
-  /^an? (once|idempotent|stream|resumable) route$/,
+  /^an? (once|idempotent|single|stream|resumable) route$/,
   function route(this: ServingWorld, kind: string) {
     this.route = {
       name: 'r',
