--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -169,6 +169,8 @@
       readyMilliseconds: result.readyMilliseconds,
       milliseconds: Math.round(sinceStart()),
     });
+    // The signal also ends the wait at the deadline of the request.
+    if (signal.aborted) throw signal.reason as Refusal;
     if (result.end !== WAIT_END.READY) throw createWaitRefusal(result, model);
   };
 
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -1,7 +1,14 @@
 /** Handles a request from its arrival until it is answered or refused. */
 import { ROUTE_KIND, type Route } from '@bulrushspar/catalogue';
 import { startStopwatch, type Stopwatch } from '@bulrushspar/clock';
-import { createRefusal, isRefusal, RAN, REFUSAL, type Refusal } from '@bulrushspar/errors';
+import {
+  createRefusal,
+  isRefusal,
+  RAN,
+  REFUSAL,
+  type Ran,
+  type Refusal,
+} from '@bulrushspar/errors';
 import type { DemandTracker } from '@bulrushspar/loading';
 import type { Admission, AdmittedRequest } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
@@ -30,12 +37,12 @@
 const MAX_CRASHES = 3;
 const MILLISECONDS_PER_SECOND = 1000;
 
-const createDeadlineRefusal = (): Refusal =>
+const createDeadlineRefusal = (ran: Ran): Refusal =>
   createRefusal({
     status: 504,
     code: REFUSAL.DEADLINE,
     message: 'the request exceeded its deadline',
-    ran: RAN.UNKNOWN,
+    ran,
   });
 
 const selectDelivery = ({ kind, resumable }: Route): Delivery => {
@@ -99,9 +106,11 @@
   };
 
   /** Creates a signal that aborts the request at its deadline or when its caller disconnects. */
-  const createDeadlineSignal = (reply: Reply, milliseconds: number) => {
+  const createDeadlineSignal = (reply: Reply, milliseconds: number, wasSent: () => boolean) => {
     const controller = new AbortController();
-    const cancel = clock.after(milliseconds, () => controller.abort(createDeadlineRefusal()));
+    const cancel = clock.after(milliseconds, () =>
+      controller.abort(createDeadlineRefusal(wasSent() ? RAN.UNKNOWN : RAN.NO)),
+    );
     const onDisconnect = (): void => controller.abort(createCallerGoneRefusal());
     reply.gone.addEventListener('abort', onDisconnect, { once: true });
     if (reply.gone.aborted) onDisconnect();
@@ -127,7 +136,11 @@
       route.timeoutMilliseconds,
       call.callerTimeoutMilliseconds ?? Infinity,
     );
-    const { signal, cancel } = createDeadlineSignal(reply, timeoutMilliseconds);
+    const { signal, cancel } = createDeadlineSignal(
+      reply,
+      timeoutMilliseconds,
+      () => request.sendCount > 0,
+    );
     let firstByteMilliseconds: number | undefined;
     const relay = openRelay(selectDelivery(route), {
       reply,
--- a/packages/serving/src/waits.ts
+++ b/packages/serving/src/waits.ts
@@ -109,7 +109,10 @@
         since: clock.monotonic(),
         settle: (result) => {
           waiting.delete(waiter);
-          if (waiting.size === 0) waiters.delete(model);
+          if (waiting.size === 0) {
+            waiters.delete(model);
+            unplannedSince.delete(model);
+          }
           signal.removeEventListener('abort', onAbort);
           resolve(result);
         },
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -93,6 +93,24 @@
     Then the caller gets 503 with retry-after
     And it took at most 400 ms
 
+  Scenario: The patience with a model that no plan contains begins anew with each wait
+    Given a resumable route
+    And no server holds the model
+    And the leader reports that no server has room
+    When the caller of a request disconnects after 200 ms
+    And 30000 ms later a request is served
+    Then the caller gets 503 with retry-after
+    And it took at least 380 ms
+
+  Scenario: A request that was not sent before its deadline is not charged to the quota
+    Given a resumable route that times out after 300 ms
+    And no server holds the model
+    And the leader reports that the model will be ready in -800 ms
+    And a workspace that may use 1 request
+    When a request is served
+    Then the caller gets 504
+    And the workspace may use 1 request again
+
   Scenario: A refused request is not charged to the quota
     Given a once route
     And servers that one after another reject, reject, reject, reject, reject, answer
