--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -101,7 +101,8 @@
 const RELAYED_STATE_EXPIRY_MILLISECONDS = 1500;
 /** Shortfall of hosts at which a hub is still preferred for being in the same failure domain. */
 const NEAR_HUB_HOST_TOLERANCE = 2;
-/** The most recent credit of several states of a host, by model. */
+
+/** Adds up the credit that two states of a host report, by model. */
 const addCredit = (
   first: Readonly<Record<string, number>>,
   second: Readonly<Record<string, number>>,
