--- a/packages/entry/test/fleet.ts
+++ b/packages/entry/test/fleet.ts
@@ -3,7 +3,6 @@
 import { Before, Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import {
-  createQuotas,
   createRunningTotals,
   createTopology,
   type HostPlace,
@@ -13,6 +12,7 @@
   type Topology,
 } from '@bulrushspar/entry';
 import fc from 'fast-check';
+import { createTestQuotas, WORKSPACE } from './quotas.js';
 
 interface FleetWorld {
   clock: ManualClock;
@@ -27,7 +27,6 @@
   incarnations: Map<string, number>;
 }
 
-const WORKSPACE = 'w';
 const BURST = 10_000;
 
 Before({ tags: '@fleet' }, function (this: FleetWorld) {
@@ -195,24 +194,6 @@
   );
 });
 
-function createHostQuotas(clock: ManualClock): Quotas {
-  const quotas = createQuotas({
-    clock,
-    linkedFraction: () => 1,
-    isFirstStart: true,
-    tolerance: { windowMilliseconds: 8000, overshoot: 0.1, slack: 0 },
-  });
-  const quota = { ratePerSecond: 0, burst: BURST, countsTokens: true, defaultRequestTokens: 1 };
-  quotas.update({
-    version: 1,
-    routes: [],
-    services: new Map(),
-    workspaces: [{ name: WORKSPACE, keys: [], quota }],
-    callerLimits: { headerBytes: 0, bodyBytes: 0, headerMilliseconds: 0, idleMilliseconds: 0 },
-  });
-  return quotas;
-}
-
 function reportHubTotals(world: FleetWorld, hub: string): void {
   const incarnation = String(world.incarnations.get(hub) ?? 0);
   const taken = { [WORKSPACE]: world.takenByHub.get(hub)! };
@@ -228,7 +209,7 @@
 Given(
   'a host whose primary hub is hub 1 and that receives summaries of hub 2',
   function (this: FleetWorld) {
-    this.quotas = createHostQuotas(this.clock);
+    this.quotas = createTestQuotas(this.clock, BURST);
     this.primaryHub = 'hub 1';
     // The hubs have started to count at different times.
     this.takenByHub = new Map([
@@ -288,7 +269,7 @@
 Given(
   'a hub to which host {string} reports {int} taken tokens for the first time',
   function (this: FleetWorld, host: string, tokens: number) {
-    this.quotas = createHostQuotas(this.clock);
+    this.quotas = createTestQuotas(this.clock, BURST);
     this.quotas.receiveTaken({ host, incarnation: '1' }, { [WORKSPACE]: tokens }, true);
   },
 );
--- a/packages/entry/test/gossip.ts
+++ b/packages/entry/test/gossip.ts
@@ -4,7 +4,6 @@
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import {
   createGossip,
-  createQuotas,
   createTopology,
   MESSAGE,
   type FleetSummary,
@@ -20,6 +19,7 @@
 import { createDemandTracker, type DemandTracker } from '@bulrushspar/loading';
 import type { Link } from '@bulrushspar/peer';
 import { pack, unpack } from 'msgpackr';
+import { createTestQuotas, WORKSPACE } from './quotas.js';
 
 interface SimulatedHost {
   readonly place: HostPlace;
@@ -43,7 +43,6 @@
   secondsWithMessages: number;
 }
 
-const WORKSPACE = 'w';
 const MODEL = 'm';
 const BURST = 100_000;
 const STATE_INTERVAL_MILLISECONDS = 200;
@@ -112,20 +111,7 @@
   const { clock } = world;
   const topology = createTopology({ clock, self: place.host });
   topology.update(places);
-  const quotas = createQuotas({
-    clock,
-    linkedFraction: () => 1,
-    isFirstStart: true,
-    tolerance: { windowMilliseconds: 8000, overshoot: 0, slack: 0 },
-  });
-  const quota = { ratePerSecond: 0, burst: BURST, countsTokens: true, defaultRequestTokens: 1 };
-  quotas.update({
-    version: 1,
-    routes: [],
-    services: new Map(),
-    workspaces: [{ name: WORKSPACE, keys: [], quota }],
-    callerLimits: { headerBytes: 0, bodyBytes: 0, headerMilliseconds: 0, idleMilliseconds: 0 },
-  });
+  const quotas = createTestQuotas(clock, BURST);
   const demand = createDemandTracker({ clock });
   const gossip = createGossip({
     clock,
