--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -134,6 +134,12 @@
   const isFresh = ({ since }: Received<unknown>): boolean => since() < MAX_REPORT_AGE_MILLISECONDS;
   const freshSummaries = (): ReceivedSummary[] => [...summaries.values()].filter(isFresh);
 
+  /**
+   * Counts the hosts that have reported recently, this one included. A process that was paused does
+   * not know what the others have done since, although its links are still open.
+   */
+  const countReportingHosts = (): number => [...states.values()].filter(isFresh).length + 1;
+
   const choosePrimaryHub = (): void => {
     if (topology.isHub()) {
       if (primaryHub !== undefined) quotas.clearHubTotals();
@@ -294,7 +300,7 @@
   };
 
   const buildSummary = (receiver: string): FleetSummary => ({
-    hosts: states.size + 1,
+    hosts: countReportingHosts(),
     taken: quotas.totalsExcept(receiver),
     running: runningExcept(receiver),
     orders: leadership().newestLease(),
@@ -373,7 +379,7 @@
     },
     linkedFraction: () => {
       const reachedHosts = Math.max(
-        states.size + 1,
+        countReportingHosts(),
         ...freshSummaries().map(({ body }) => body.hosts),
       );
       return Math.min(1, reachedHosts / topology.size());
--- a/packages/entry/test/gossip.feature
+++ b/packages/entry/test/gossip.feature
@@ -17,6 +17,20 @@
       | 62    | 3       | 16       |
       | 195   | 5       | 16       |
 
+  Scenario Outline: A process that was paused knows of no other host until it has heard of them
+    Given <hosts> hosts in 3 failure domains that exchange states
+    When 1500 ms pass
+    Then every host is linked with all others
+    When all hosts are paused for 3000 ms
+    Then no host is linked with another
+    When 1000 ms pass
+    Then every host is linked with all others
+
+    Examples:
+      | hosts |
+      | 4     |
+      | 62    |
+
   Scenario Outline: Tokens are counted once over <happens>
     A host that meets a hub for the first time assumes that both have counted the same. What is on its
     way at that moment may be counted again; it stays within the tolerance of quotas, a tenth.
--- a/packages/entry/test/gossip.ts
+++ b/packages/entry/test/gossip.ts
@@ -254,3 +254,23 @@
       );
   },
 );
+
+When(
+  'all hosts are paused for {int} ms',
+  function suspend(this: GossipWorld, milliseconds: number) {
+    this.clock.suspend(milliseconds);
+  },
+);
+
+Then('every host is linked with all others', function check(this: GossipWorld) {
+  running(this).forEach(({ gossip, place }) =>
+    assert.equal(gossip.linkedFraction(), 1, place.host),
+  );
+});
+
+Then('no host is linked with another', function check(this: GossipWorld) {
+  const { size } = this.hosts;
+  running(this).forEach(({ gossip, place }) =>
+    assert.equal(gossip.linkedFraction(), 1 / size, place.host),
+  );
+});
