--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -74,6 +74,8 @@
   const topology = createTopology({ clock, self: self.host });
   let peers: readonly ListedPeer[] = [];
   let versionByHost = new Map<string, number>();
+  /** Whether a list of the records has been received; it may be empty in a restored store. */
+  let hasView = false;
   /** Time without a report, by listed host. */
   const unreportedSince = new Map<string, Stopwatch>();
   let sinceUnlisted: Stopwatch | undefined;
@@ -113,7 +115,7 @@
   /** Writes the own record again if it was removed while this host was unreachable. */
   const registerIfUnlisted = (): void => {
     const isListed = versionByHost.has(self.host);
-    if (isListed || versionByHost.size === 0) {
+    if (isListed || !hasView) {
       sinceUnlisted = undefined;
       return;
     }
@@ -185,6 +187,7 @@
       });
     },
     updateHosts: (view) => {
+      hasView = true;
       const listed = parseHostRecords(view);
       peers = [...listed, ...findLostPeers(listed)];
       versionByHost = new Map([...view.values()].map(({ name, version }) => [name, version]));
--- a/packages/entry/test/fleet.feature
+++ b/packages/entry/test/fleet.feature
@@ -55,6 +55,17 @@
     When its primary hub reports that nothing is unreachable
     Then it is not a hub
 
+  Scenario Outline: A host writes its record again when the store has lost it
+    Given a host whose record is listed with those of <others> others
+    When the store comes back without <lost>
+    Then after 6 s the store holds the record of the host
+
+    Examples:
+      | others | lost                  |
+      | 3      | the record of the host |
+      | 3      | any record            |
+      | 0      | any record            |
+
   Scenario: Incremental sums of running requests equal a recount
     When 200 hosts change their running requests 2000 times in an order of seed 71
     Then the sums equal a recount
--- a/packages/entry/test/fleet.ts
+++ b/packages/entry/test/fleet.ts
@@ -3,14 +3,18 @@
 import { Before, Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import {
+  createFleet,
   createRunningTotals,
   createTopology,
+  HOST_KIND,
+  type Fleet,
   type HostPlace,
   type Quotas,
   type RunningRequests,
   type RunningTotals,
   type Topology,
 } from '@bulrushspar/entry';
+import { createMemoryStore, type MemoryStore } from '@bulrushspar/standins';
 import fc from 'fast-check';
 import { createTestQuotas, WORKSPACE } from './quotas.js';
 
@@ -18,6 +22,8 @@
   clock: ManualClock;
   hostPlaces: HostPlace[];
   topology: Topology;
+  fleet: Fleet;
+  store: MemoryStore;
   totals: RunningTotals;
   expectedTotals: Map<string, number>;
   quotas: Quotas;
@@ -295,3 +301,61 @@
     assert.equal(this.quotas.totalsExcept(host)[WORKSPACE] ?? 0, own);
   },
 );
+
+const SELF = 'h-0';
+
+/** Shows the fleet all records that the store holds. */
+async function showRecords({ store, fleet }: FleetWorld): Promise<void> {
+  const { objects } = await store.list(HOST_KIND);
+  fleet.updateHosts(new Map(objects.map((object) => [object.name, object])));
+}
+
+Given(
+  'a host whose record is listed with those of {int} others',
+  async function (this: FleetWorld, others: number) {
+    this.store = createMemoryStore();
+    this.fleet = createFleet({
+      self: { host: SELF, incarnation: '1' },
+      record: { address: '127.0.0.1', port: 1, failureDomain: 'a', cores: 1, isFirstStart: true },
+      store: this.store,
+      clock: this.clock,
+      logger: { info: () => {}, warn: () => {}, error: () => {} },
+      handlers: {},
+      random: () => 0,
+      onLink: () => {},
+      onLost: () => {},
+      leader: () => undefined,
+      hasReported: () => false,
+      needsRelay: () => false,
+      primaryHub: () => undefined,
+    });
+    const record = { address: '127.0.0.1', port: 1, failureDomain: 'a', cores: 1 };
+    for (let number = 0; number <= others; number += 1) {
+      // eslint-disable-next-line no-await-in-loop -- records are written one after another
+      await this.store.write({ kind: HOST_KIND, name: `h-${number}` }, record, 0);
+    }
+    await showRecords(this);
+  },
+);
+
+When(
+  /^the store comes back without (the record of the host|any record)$/,
+  async function (this: FleetWorld, lost: string) {
+    const { objects } = await this.store.list(HOST_KIND);
+    const removed = objects.filter(({ name }) => lost === 'any record' || name === SELF);
+    await Promise.all(
+      removed.map(({ name, version }) => this.store.remove({ kind: HOST_KIND, name }, version)),
+    );
+    this.fleet.recordRollback();
+    await showRecords(this);
+  },
+);
+
+Then(
+  'after {int} s the store holds the record of the host',
+  async function (this: FleetWorld, seconds: number) {
+    await this.clock.advance(seconds * 1000);
+    this.fleet.stop();
+    assert(await this.store.read({ kind: HOST_KIND, name: SELF }));
+  },
+);
