--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -163,10 +163,11 @@
       triedServers: new Set(),
       sendCount: 0,
       possibleRunCount: 0,
-      requiredVersion: findRequiredVersion(call, admitted),
+      requiredVersion: undefined,
     };
     if (call.requirements) demand.recordRequests(call.requirements.model, 1);
     try {
+      Object.assign(request, { requiredVersion: findRequiredVersion(call, admitted) });
       const state = await attemptRunner.run(request);
       clearCrashes(call);
       logger.info('served', {
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -191,6 +191,16 @@
       | 1 1 2    | 1     | a-2     | 503 with retry-after |
       | 1 1 1    | 1     | a-2     | events 345 end       |
 
+  Scenario: A stream of an unknown version leaves nothing behind when it is refused
+    Given a resumable route
+    And the servers have the software versions "1 1 2"
+    And the caller takes up the stream of attempt "a-2" after event 2
+    And a workspace that may use 1 request
+    When a request is served
+    Then the caller gets 503 with retry-after
+    And the workspace may use 1 request again
+    And no timer fails within 30 s
+
   Scenario: A stream whose version is gone is refused at once, although other servers hold its model
     Given a resumable route
     And the servers have the software versions "2 2 2"
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -523,3 +523,7 @@
     [...this.sendsByServer.keys()].forEach((id) => assert(servers.includes(id), id));
   },
 );
+
+Then('no timer fails within {int} s', async function pass(this: ServingWorld, seconds: number) {
+  await this.clock.advance(seconds * 1000);
+});
