--- a/packages/store/src/era.ts
+++ b/packages/store/src/era.ts
@@ -1,7 +1,7 @@
 /**
- * Versions of a store that can be restored from an older copy. After that the store gives out
- * revisions again, so that a revision alone neither identifies nor orders anything; each restoration
- * begins a new era.
+ * Versions of a store that can be restored from an older copy. The restored
+ * store assigns revisions again, so that a revision alone neither identifies nor orders anything;
+ * each restoration begins a new era.
  */
 import { createStoreError, EFFECT } from './failure.js';
 import {
