Report a product host as not ready from the begin of its stop

The load balancer kept a host that was stopping for the whole of `leave_seconds`, and lost requests to it until it noticed: `/readyz` said 503 only once requests were refused, although `leave_seconds` is the time between the two (docs/OPERATIONS.md). Evidence: the new scenario failed before: after the first 503 of `/readyz` a request was refused as "stopping"; it is served now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,11 +37,11 @@
    */
   abortAuthenticatedRequests(why: string): void;
   /**
-   * Sends `connection: close` with the answers to further requests, so that the load balancer moves
-   * its connections to other hosts. New requests are still served.
+   * Reports not ready and sends `connection: close` with the answers to further requests, so that the
+   * load balancer moves to other hosts. New requests are still served.
    */
   startDraining(): void;
-  /** Refuses all further requests and reports not ready. */
+  /** Refuses all further requests. */
   refuseNewRequests(): void;
   countOpenRequests(): number;
   /** Resolves as soon as no request is open. */
@@ -186,9 +186,8 @@
       response.end(await metrics.text());
       return;
     }
-    const state: Readiness = isStopping
-      ? { ready: false, why: 'this host is stopping' }
-      : getReadiness();
+    const state: Readiness =
+      isDraining || isStopping ? { ready: false, why: 'this host is stopping' } : getReadiness();
     if (path === '/healthz' || state.ready) sendJson(response, { status: 'ok' });
     else sendJson(response, { status: 'not ready', why: state.why }, 503);
   };
--- a/packages/node/test/path.feature
+++ b/packages/node/test/path.feature
@@ -85,6 +85,14 @@
     Then the open answers are complete
     And node 1 ends with exit code 0
 
+  # The balancer was told only when requests were refused already.
+  Scenario: A node that receives SIGTERM leaves the balancer before it refuses requests
+    Given "model-a" is loaded
+    When node 1 receives SIGTERM
+    And node 1 answers that it is not ready
+    And the caller asks "model-a" for 8 tokens streamed
+    Then the answer is complete with 8 words
+
   Scenario: A second signal ends a node at once
     Given the caller streams 2000 tokens from node 1
     When node 1 receives SIGTERM
