End a stop of a product host within its time

A stop waited `stop_within_seconds` for open requests and then for the end of their connections, without a limit: the process was killed, and callers lost their streams without the error that ends them. Now it ends, and the open streams end with the error "stopping".

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,8 @@
   startDraining(): void;
   /** Refuses all further requests. */
   refuseNewRequests(): void;
+  /** Aborts all open requests, since this host ends before they would. */
+  abortOpenRequests(): void;
   countOpenRequests(): number;
   /** Resolves as soon as no request is open. */
   waitUntilIdle(): Promise<void>;
@@ -66,6 +68,15 @@
     retryAfterSeconds: 1,
   });
 
+const createStoppingRefusal = (sent: boolean): Refusal =>
+  createRefusal({
+    status: 503,
+    code: REFUSAL.STOPPING,
+    message: 'this host is stopping',
+    ran: sent ? 'unknown' : false,
+    retryAfterSeconds: 1,
+  });
+
 const createCallerDisconnectedRefusal = (): Refusal =>
   createRefusal({
     status: 499,
@@ -103,14 +114,7 @@
   };
 
   const checkAdmission = (): void => {
-    if (isStopping) {
-      throw createRefusal({
-        status: 503,
-        code: REFUSAL.STOPPING,
-        message: 'this host is stopping',
-        retryAfterSeconds: 1,
-      });
-    }
+    if (isStopping) throw createStoppingRefusal(false);
     const state = getReadiness();
     if (!state.ready) {
       throw createRefusal({
@@ -229,6 +233,9 @@
     refuseNewRequests: () => {
       isStopping = true;
     },
+    abortOpenRequests: () => {
+      openContexts.forEach((context) => context.abort(createStoppingRefusal(context.sent)));
+    },
     countOpenRequests: () => openContexts.size,
     waitUntilIdle: () =>
       openContexts.size === 0
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -237,6 +237,7 @@
   const drainWork = async (): Promise<void> => {
     const limitMilliseconds = settings.node.stop_within_seconds * MILLISECONDS_PER_SECOND;
     await Promise.race([gateway.waitUntilIdle(), clock.delay(limitMilliseconds)]);
+    gateway.abortOpenRequests();
     await Promise.race([ledger.drain(), clock.delay(limitMilliseconds)]);
   };
 
--- a/packages/node/test/path.feature
+++ b/packages/node/test/path.feature
@@ -85,6 +85,13 @@
     Then the open answers are complete
     And node 1 ends with exit code 0
 
+  # A stop waited for open requests without a limit, until the process was killed.
+  Scenario: A stop ends within its time although a request does not
+    Given the caller streams 2000 tokens from node 1
+    When node 1 receives SIGTERM
+    Then node 1 ends with exit code 0 within 20 seconds
+    And the open answers end with the error "stopping"
+
   # The balancer was told only when requests were refused already.
   Scenario: A node that receives SIGTERM leaves the balancer before it refuses requests
     Given "model-a" is loaded
--- a/packages/node/test/path.ts
+++ b/packages/node/test/path.ts
@@ -12,6 +12,7 @@
 
 const KEY = 'secret-of-alpha';
 const SERVICE_UNAVAILABLE = 503;
+const MILLISECONDS_PER_SECOND = 1000;
 
 const countWords = (text: string): number => {
   if (!text.startsWith('data: ')) {
@@ -205,6 +206,14 @@
   answers.forEach((answer) => assert.ok(answer.isComplete, answer.text));
 });
 
+Then('the open answers end with the error {string}', async function ends(this: FleetWorld, code) {
+  const answers = await Promise.all(this.open);
+  assert.deepEqual(
+    answers.map((answer) => [answer.isComplete, answer.code]),
+    answers.map(() => [false, code]),
+  );
+});
+
 Then(
   'the request is refused as {string} and did not run',
   function refused(this: FleetWorld, code: string) {
@@ -282,6 +291,14 @@
   },
 );
 
+Then(
+  'node {int} ends with exit code {int} within {int} seconds',
+  async function ends(this: FleetWorld, node: number, code: number, seconds: number) {
+    const timeout = pause(seconds * MILLISECONDS_PER_SECOND).then(() => 'still running');
+    assert.equal(await Promise.race([this.fleet.nodes[node - 1]!.waitForExit(), timeout]), code);
+  },
+);
+
 Then(
   'the explanation names the key, the admission and the server',
   async function explain(this: FleetWorld) {
