Begin no first run of a request once a stopping host refuses new ones

A request that waited for an adapter or was rejected by a server as not run was sent to a server at any time of the stop, at most seconds before the host ended and cut it; other hosts could have run it whole. While it waited for an adapter at the end of the stop it was cut although it had not run. Evidence: the new scenario failed before: after the begin of the stop a rejected request was sent again and answered "200 whole"; it is refused as not run now, and its credit is returned. A request that may have run goes on as before.

--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -79,6 +79,8 @@
   readonly onNotice?: (server: ServerEntry, notice: ServerNotice) => void;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
+  /** @returns the refusal of all requests that have not run yet while this host is stopping */
+  readonly getStoppingRefusal: () => Refusal | undefined;
 }
 
 /** Maximum number of sends of one request, including those rejected without running it. */
@@ -115,6 +117,7 @@
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
   const { waits, budget, suspects, send, streams, ensureAdapter, onNotice = () => {} } = options;
+  const { getStoppingRefusal } = options;
 
   /** Servers of the request's service; for a stream that has begun only those of its version. */
   const listServers = ({
@@ -410,6 +413,9 @@
   ): Promise<ServerState> => {
     try {
       const state = await prepareServer(request);
+      // A first run that begins now might not end before this host does; another host can begin it.
+      const stopping = request.possibleRunCount === 0 ? getStoppingRefusal() : undefined;
+      if (stopping) throw stopping;
       chargeRetryBudget(request, lastError);
       return state;
     } catch (error) {
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -29,8 +29,6 @@
 > extends AttemptRunnerOptions<SomeCall> {
   readonly admission: Admission;
   readonly demand: DemandTracker;
-  /** @returns the refusal of all new requests while this host is stopping */
-  readonly getStoppingRefusal: () => Refusal | undefined;
 }
 
 /** Number of server crashes while running a request after which that request is refused. */
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -93,6 +93,15 @@
     Then the caller gets 503 with retry-after
     And it took at most 400 ms
 
+  # A run that begins long after the begin of a stop cannot end in time; its request had not run yet.
+  Scenario: The host stops while a server rejects a request
+    Given a once route
+    And servers that one after another reject, answer
+    And the host stops after 3 ms
+    When a request is served
+    Then the caller gets 503 with retry-after
+    And 1 servers received it
+
   Scenario: The patience with a model that no plan contains begins anew with each wait
     Given a resumable route
     And no server holds the model
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -12,6 +12,7 @@
   createRequestHandler,
   createServerStates,
   createServingMetrics,
+  createStoppingRefusal,
   createStreamVersions,
   type AnswerSink,
   type Attempt,
@@ -245,8 +246,9 @@
     if (clock.monotonic() < MAX_TEST_MILLISECONDS) clock.after(100, () => sendOutlook(waits));
   };
   const waits: ModelWaits = createModelWaits({ clock, onNewModel: () => sendOutlook(waits) });
-  const { stopsAfterMilliseconds } = world;
-  if (stopsAfterMilliseconds !== undefined) clock.after(stopsAfterMilliseconds, waits.close);
+  const { stopsAfterMilliseconds = Infinity } = world;
+  if (stopsAfterMilliseconds < Infinity) clock.after(stopsAfterMilliseconds, waits.close);
+  const stopsAt = clock.monotonic() + stopsAfterMilliseconds;
   const changed = world;
   return createRequestHandler<Call>({
     clock,
@@ -268,7 +270,7 @@
     suspects: createSuspectTracker({ clock }),
     streams: world.streams,
     ensureAdapter: () => Promise.resolve(true),
-    getStoppingRefusal: () => undefined,
+    getStoppingRefusal: () => (clock.monotonic() >= stopsAt ? createStoppingRefusal() : undefined),
     onNotice: ({ id }, { isLeaving, closedMilliseconds }) => {
       if (closedMilliseconds !== undefined) states.close(id, closedMilliseconds);
       if (!isLeaving) return;
