--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,12 +37,14 @@
    */
   abortAuthenticatedRequests(why: string): void;
   /**
-   * Sends `connection: close` with the answers to further requests, so that the load balancer moves
-   * its connections to other hosts. New requests are still served.
+   * Reports not ready and sends `connection: close` with the answers to further requests, so that the
+   * load balancer moves to other hosts. New requests are still served.
    */
   startDraining(): void;
-  /** Refuses all further requests and reports not ready. */
+  /** Refuses all further requests. */
   refuseNewRequests(): void;
+  /** Aborts all open requests, since this host ends before they would. */
+  abortOpenRequests(): void;
   countOpenRequests(): number;
   /** Resolves as soon as no request is open. */
   waitUntilIdle(): Promise<void>;
@@ -66,6 +68,15 @@
     retryAfterSeconds: 1,
   });
 
+const createStoppingRefusal = (sent: boolean): Refusal =>
+  createRefusal({
+    status: 503,
+    code: REFUSAL.STOPPING,
+    message: 'this host is stopping',
+    ran: sent ? 'unknown' : false,
+    retryAfterSeconds: 1,
+  });
+
 const createCallerDisconnectedRefusal = (): Refusal =>
   createRefusal({
     status: 499,
@@ -103,14 +114,7 @@
   };
 
   const checkAdmission = (): void => {
-    if (isStopping) {
-      throw createRefusal({
-        status: 503,
-        code: REFUSAL.STOPPING,
-        message: 'this host is stopping',
-        retryAfterSeconds: 1,
-      });
-    }
+    if (isStopping) throw createStoppingRefusal(false);
     const state = getReadiness();
     if (!state.ready) {
       throw createRefusal({
@@ -186,9 +190,8 @@
       response.end(await metrics.text());
       return;
     }
-    const state: Readiness = isStopping
-      ? { ready: false, why: 'this host is stopping' }
-      : getReadiness();
+    const state: Readiness =
+      isDraining || isStopping ? { ready: false, why: 'this host is stopping' } : getReadiness();
     if (path === '/healthz' || state.ready) sendJson(response, { status: 'ok' });
     else sendJson(response, { status: 'not ready', why: state.why }, 503);
   };
@@ -230,6 +233,9 @@
     refuseNewRequests: () => {
       isStopping = true;
     },
+    abortOpenRequests: () => {
+      openContexts.forEach((context) => context.abort(createStoppingRefusal(context.sent)));
+    },
     countOpenRequests: () => openContexts.size,
     waitUntilIdle: () =>
       openContexts.size === 0
