Find the prompt part on which servers crash

Cause: crashes are counted for each request by its content, so that each of these requests counts as a new one.

Adds a tracker that hosts replicate: for each prompt part the server processes that crashed while they ran it. A crash counts once it is confirmed, a part that was served since is cleared, and a request is blocked if it holds all the parts that alone explain three crashes.

Evidence: routing/parts has 25 courses, the updates for a host that was cut off, and 60 generated courses.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,13 @@
   type QueueRequest,
   type QueueSlot,
 } from './queue.js';
+export {
+  createPromptPartTracker,
+  type PromptPartTracker,
+  type PromptPartTrackerOptions,
+  type PromptPartUpdate,
+  type ServerProcess,
+} from './parts.js';
 export {
   createStreamRelay,
   createBufferedRelay,
--- /dev/null
+++ b/packages/routing/src/losses.ts
@@ -0,0 +1,65 @@
+/** Which server processes were lost while they ran which prompt parts. */
+
+/** Server processes, each with the time on the monotonic clock when it was lost. */
+export type Losses = ReadonlyMap<string, number>;
+
+/** Record of the losses of one host; a bounded number of parts, of which the oldest yield. */
+export interface LossRecord {
+  isEmpty(): boolean;
+  /** @returns the parts for which the process was not recorded before */
+  add(process: string, parts: readonly string[], at: number): readonly string[];
+  /**
+   * Removes the losses of the parts up to a time.
+   * @returns the parts of which any were removed
+   */
+  clear(parts: readonly string[], upTo: number): readonly string[];
+  /** Removes a process from all parts. */
+  forget(process: string): void;
+  /** @returns the parts for which the process is recorded */
+  listParts(process: string): readonly string[];
+  entries(): Iterable<readonly [part: string, losses: Losses]>;
+}
+
+const MAX_PARTS = 10_000;
+
+/** Creates an empty record. */
+export function createLossRecord(): LossRecord {
+  const lossesByPart = new Map<string, Map<string, number>>();
+
+  const removeOldest = (): void => {
+    for (const oldest of lossesByPart.keys()) {
+      if (lossesByPart.size <= MAX_PARTS) break;
+      lossesByPart.delete(oldest);
+    }
+  };
+
+  return {
+    isEmpty: () => lossesByPart.size === 0,
+    add: (process, parts, at) => {
+      const added = parts.filter((part) => !lossesByPart.get(part)?.has(process));
+      added.forEach((part) => {
+        const losses = lossesByPart.get(part) ?? new Map<string, number>();
+        lossesByPart.delete(part);
+        lossesByPart.set(part, losses.set(process, at));
+      });
+      removeOldest();
+      return added;
+    },
+    clear: (parts, upTo) =>
+      parts.filter((part) => {
+        const losses = lossesByPart.get(part);
+        if (!losses) return false;
+        const cleared = [...losses].filter(([, at]) => at <= upTo);
+        cleared.forEach(([process]) => losses.delete(process));
+        if (losses.size === 0) lossesByPart.delete(part);
+        return cleared.length > 0;
+      }),
+    forget: (process) =>
+      lossesByPart.forEach((losses, part) => {
+        if (losses.delete(process) && losses.size === 0) lossesByPart.delete(part);
+      }),
+    listParts: (process) =>
+      [...lossesByPart].flatMap(([part, losses]) => (losses.has(process) ? [part] : [])),
+    entries: () => lossesByPart.entries(),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/parts.ts
@@ -0,0 +1,311 @@
+/** Replicated record of the prompt parts that were running when servers crashed. */
+import type { Clock, Stopwatch } from '@bulrushspar/clock';
+import { groupCandidates, type Candidate, type CandidateGroup } from './candidates.js';
+import { createLossRecord, type Losses } from './losses.js';
+
+/** A process of a server; a restart with the same id has another start time. */
+export interface ServerProcess {
+  readonly id: string;
+  /** Unix time of the start, in milliseconds. */
+  readonly born: number;
+}
+
+/** Message between hosts about prompt parts. */
+export interface PromptPartUpdate {
+  /** Server process that crashed while it ran the parts; absent if the parts were served. */
+  readonly process?: string | undefined;
+  readonly parts: readonly string[];
+  /** Milliseconds since the crash was noticed, or since the server began the answer it completed. */
+  readonly age: number;
+}
+
+/**
+ * Finds the prompt part on which servers crash, among the parts that ran when they crashed. A part
+ * whose request was served does not crash servers.
+ */
+export interface PromptPartTracker {
+  /** Records that a server broke the connection of a request; it counts once the crash is confirmed. */
+  recordLoss(server: ServerProcess, parts: readonly string[]): void;
+  /** Records that this host cannot connect to the server process any more. */
+  recordUnreachable(server: ServerProcess): void;
+  /** Records that a server has begun an answer to this host, whose own link therefore works. */
+  recordAnswer(): void;
+  /** Confirms the crashes of the server processes that are not listed any more. */
+  updateServers(servers: ReadonlyMap<string, ServerProcess>): void;
+  /**
+   * Clears the parts of a request that was served.
+   * @param sinceBegun stopwatch started when the server began the answer
+   */
+  recordServed(parts: readonly string[], sinceBegun: Stopwatch): void;
+  /**
+   * Returns the parts for which a request with the given parts is blocked; undefined if it is not.
+   * @param minCrashes number of confirmed crashes from which parts are blocked
+   */
+  findBlocked(parts: readonly string[], minCrashes?: number): readonly string[] | undefined;
+  /**
+   * Applies an update from another host.
+   * @returns whether it changed anything, so that it must be relayed
+   */
+  applyUpdate(update: PromptPartUpdate): boolean;
+  /** @returns all confirmed crashes and cleared parts, for a host that was disconnected */
+  listUpdates(): readonly PromptPartUpdate[];
+}
+
+/** Options of {@link createPromptPartTracker}. */
+export interface PromptPartTrackerOptions {
+  readonly clock: Clock;
+  /** Called with each update that must be sent to the other hosts. */
+  readonly onUpdate?: (update: PromptPartUpdate) => void;
+  /** Called when a server breaks a connection, so that its crash can be confirmed. */
+  readonly onLoss?: (server: ServerProcess) => void;
+  /** Called when this host has confirmed a crash. */
+  readonly onCrash?: (process: string, parts: readonly string[]) => void;
+  /** Called when requests with all of the parts become blocked. */
+  readonly onBlocked?: (parts: readonly string[]) => void;
+  /** Called when blocked parts are not blocked any more. */
+  readonly onUnblocked?: (parts: readonly string[]) => void;
+  /** Time for which a crash counts, in milliseconds; 10 minutes by default. */
+  readonly retentionMilliseconds?: number;
+  /** Time after the last crash for which a part is blocked, in milliseconds; 2 minutes by default. */
+  readonly blockMilliseconds?: number;
+}
+
+/** Number of crashes from which a part is blocked. */
+const MIN_CRASHES = 3;
+/** Time in which a crash must be confirmed; a server's entry expires before. */
+const CONFIRMATION_MILLISECONDS = 10_000;
+/** Number of servers that break their connections at once from which this host suspects its link. */
+const LINK_FAILURE_SERVERS = 4;
+const LINK_FAILURE_MILLISECONDS = 300;
+/** Time for which a cleared part is known, so that evidence that arrives late does not count. */
+const SERVED_RETENTION_MILLISECONDS = 60_000;
+/** Time after which the blocked parts are computed again, as crashes expire. */
+const GROUPS_LIFETIME_MILLISECONDS = 1000;
+const MAX_PROCESSES = 500;
+
+interface ProcessRecord {
+  /** Time on the monotonic clock of the last connection lost before the crash was confirmed. */
+  at: number;
+  /** This host has lost a connection to the process. */
+  isOwn: boolean;
+  isConfirmed: boolean;
+  /** Several servers were lost at once, and none has answered since: this host may be cut off. */
+  isDoubtful: boolean;
+  /** This host has failed to connect to the process. */
+  isUnreachable: boolean;
+}
+
+interface CachedGroups {
+  readonly version: number;
+  readonly at: number;
+  readonly groups: readonly CandidateGroup[];
+}
+
+const processKey = ({ id, born }: ServerProcess): string => `${id}/${born}`;
+
+/** Creates the tracker of one host, without suspected parts. */
+export function createPromptPartTracker(options: PromptPartTrackerOptions): PromptPartTracker {
+  const { clock, onUpdate = () => {}, onLoss = () => {}, onCrash = () => {} } = options;
+  const { onBlocked = () => {}, onUnblocked = () => {} } = options;
+  const { retentionMilliseconds = 600_000, blockMilliseconds = 120_000 } = options;
+  const processes = new Map<string, ProcessRecord>();
+  const losses = createLossRecord();
+  /** When a server began the last answer that cleared a part. */
+  const servedTimes = new Map<string, number>();
+  const groupsByMinCrashes = new Map<number, CachedGroups>();
+  let blockedGroups = new Map<string, readonly string[]>();
+  let version = 0;
+
+  const forgetProcess = (process: string): void => {
+    processes.delete(process);
+    losses.forget(process);
+    version += 1;
+  };
+
+  const removeExpired = (): void => {
+    const now = clock.monotonic();
+    processes.forEach(({ at, isConfirmed }, process) => {
+      const lifetime = isConfirmed ? retentionMilliseconds : CONFIRMATION_MILLISECONDS;
+      if (now - at > lifetime || processes.size > MAX_PROCESSES) forgetProcess(process);
+    });
+    servedTimes.forEach((at, part) => {
+      if (now - at > SERVED_RETENTION_MILLISECONDS) servedTimes.delete(part);
+    });
+  };
+
+  const createCandidate = (part: string, lossesOfPart: Losses): Candidate => {
+    const crashes = [...lossesOfPart.keys()].filter(
+      (process) => processes.get(process)?.isConfirmed,
+    );
+    const wasServed = servedTimes.has(part);
+    return { part, crashes: new Set(crashes), score: crashes.length - (wasServed ? 1 : 0) };
+  };
+
+  const isRecent = (lossesOfPart: Losses): boolean =>
+    clock.monotonic() - Math.max(...lossesOfPart.values()) <= blockMilliseconds;
+
+  const computeGroups = (minCrashes: number): readonly CandidateGroup[] => {
+    removeExpired();
+    const candidates = [...losses.entries()].flatMap(([part, lossesOfPart]) => {
+      if (lossesOfPart.size < minCrashes || !isRecent(lossesOfPart)) return [];
+      const candidate = createCandidate(part, lossesOfPart);
+      return candidate.crashes.size < minCrashes ? [] : [candidate];
+    });
+    return groupCandidates(candidates, minCrashes);
+  };
+
+  const getGroups = (minCrashes: number): readonly CandidateGroup[] => {
+    const now = clock.monotonic();
+    const cached = groupsByMinCrashes.get(minCrashes);
+    if (cached?.version === version && now - cached.at < GROUPS_LIFETIME_MILLISECONDS)
+      return cached.groups;
+    const groups = computeGroups(minCrashes);
+    groupsByMinCrashes.set(minCrashes, { version, at: now, groups });
+    return groups;
+  };
+
+  const reportBlocked = (): void => {
+    const before = blockedGroups;
+    blockedGroups = new Map(
+      getGroups(MIN_CRASHES).map(({ parts }) => [[...parts].sort().join(), parts]),
+    );
+    blockedGroups.forEach((parts, key) => {
+      if (!before.has(key)) onBlocked(parts);
+    });
+    before.forEach((parts, key) => {
+      if (!blockedGroups.has(key)) onUnblocked(parts);
+    });
+  };
+
+  const recordProcess = (process: string, at: number): ProcessRecord => {
+    const record = processes.get(process) ?? {
+      at,
+      isOwn: false,
+      isConfirmed: false,
+      isDoubtful: false,
+      isUnreachable: false,
+    };
+    processes.set(process, record);
+    return record;
+  };
+
+  /** @returns the parts that were not recorded for the process before */
+  const addLoss = (process: string, parts: readonly string[], at: number): readonly string[] => {
+    const unserved = parts.filter((part) => (servedTimes.get(part) ?? -Infinity) < at);
+    const added = losses.add(process, unserved, at);
+    if (added.length > 0) version += 1;
+    return added;
+  };
+
+  const createCrashUpdate = (process: string, { at }: ProcessRecord): PromptPartUpdate => ({
+    process,
+    parts: losses.listParts(process),
+    age: clock.monotonic() - at,
+  });
+
+  const confirm = (process: string, record: ProcessRecord): void => {
+    Object.assign(record, { isConfirmed: true });
+    version += 1;
+    if (record.isOwn) {
+      const update = createCrashUpdate(process, record);
+      onCrash(process, update.parts);
+      onUpdate(update);
+    }
+    reportBlocked();
+  };
+
+  /** Marks servers that were lost at the same time, as happens when this host loses its own link. */
+  const detectLinkFailure = (): void => {
+    const now = clock.monotonic();
+    const recent = [...processes.values()].filter(
+      ({ at, isOwn }) => isOwn && now - at <= LINK_FAILURE_MILLISECONDS,
+    );
+    if (recent.length < LINK_FAILURE_SERVERS) return;
+    recent.forEach((record) => Object.assign(record, { isDoubtful: true }));
+  };
+
+  const recordCleared = (parts: readonly string[], at: number): void => {
+    parts.forEach((part) =>
+      servedTimes.set(part, Math.max(at, servedTimes.get(part) ?? -Infinity)),
+    );
+    version += 1;
+    reportBlocked();
+  };
+
+  return {
+    recordLoss: (server, parts) => {
+      const process = processKey(server);
+      const now = clock.monotonic();
+      removeExpired();
+      const record = recordProcess(process, now);
+      const added = addLoss(process, parts, now);
+      if (!record.isConfirmed) {
+        Object.assign(record, { at: now, isOwn: true });
+        detectLinkFailure();
+        onLoss(server);
+      } else if (added.length > 0) {
+        onUpdate({ process, parts: added, age: 0 });
+        reportBlocked();
+      }
+    },
+    recordUnreachable: (server) => {
+      const process = processKey(server);
+      const record = processes.get(process);
+      if (!record || record.isConfirmed) return;
+      record.isUnreachable = true;
+      if (!record.isDoubtful) confirm(process, record);
+    },
+    recordAnswer: () =>
+      processes.forEach((record, process) => {
+        if (record.isConfirmed || !record.isDoubtful) return;
+        Object.assign(record, { isDoubtful: false });
+        if (record.isUnreachable) confirm(process, record);
+      }),
+    updateServers: (servers) => {
+      removeExpired();
+      if (![...processes.values()].some(({ isConfirmed }) => !isConfirmed)) return;
+      const listed = new Set([...servers.values()].map(processKey));
+      processes.forEach((record, process) => {
+        if (!record.isConfirmed && !listed.has(process)) confirm(process, record);
+      });
+    },
+    recordServed: (parts, sinceBegun) => {
+      if (losses.isEmpty()) return;
+      const age = sinceBegun();
+      const at = clock.monotonic() - age;
+      const cleared = losses.clear(parts, at);
+      if (cleared.length === 0) return;
+      recordCleared(cleared, at);
+      onUpdate({ parts: cleared, age });
+    },
+    findBlocked: (parts, minCrashes = MIN_CRASHES) => {
+      if (processes.size < minCrashes) return undefined;
+      const held = new Set(parts);
+      return getGroups(minCrashes).find((group) => group.parts.every((part) => held.has(part)))
+        ?.parts;
+    },
+    applyUpdate: ({ process, parts, age }) => {
+      const at = clock.monotonic() - age;
+      if (process === undefined) {
+        const isKnown = parts.every((part) => (servedTimes.get(part) ?? -Infinity) >= at);
+        const cleared = losses.clear(parts, at);
+        recordCleared(parts, at);
+        return cleared.length > 0 || !isKnown;
+      }
+      const record = recordProcess(process, at);
+      const added = addLoss(process, parts, at);
+      if (record.isConfirmed) reportBlocked();
+      else confirm(process, record);
+      return added.length > 0;
+    },
+    listUpdates: () => {
+      removeExpired();
+      const now = clock.monotonic();
+      const crashes = [...processes]
+        .filter(([, { isConfirmed }]) => isConfirmed)
+        .map(([process, record]) => createCrashUpdate(process, record));
+      const served = [...servedTimes].map(([part, at]) => ({ parts: [part], age: now - at }));
+      return [...crashes, ...served];
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/test/parts.feature
@@ -0,0 +1,63 @@
+@parts
+Feature: Finding the prompt part on which servers crash
+
+  Requests are written as the prompt parts that they share with others: "a p" has two.
+
+  # Guards against requests that are all different and crash one server after another by a common part.
+  Scenario Outline: Which requests are blocked after crashes
+    Given two hosts that exchange updates on prompt parts
+    When <what>
+    Then a request with parts "a p" is <culprit> and one with parts "a b" is <sound>
+
+    Examples: crashes
+      | what                                                                 | culprit | sound   |
+      | 2 servers crash while running "a p" and "a b"                        | served  | served  |
+      | 3 servers crash while running "a p"                                  | blocked | served  |
+      | 3 servers crash while running "p a" and "a b" is served after each   | blocked | served  |
+      | 3 servers crash while running "a p" and "a b" is served after each   | blocked | served  |
+      | 3 servers crash while running "a p" beside "a b"                     | served  | served  |
+      | 3 servers crash while running "a p" beside "a b", then 1 under "a p" | blocked | served  |
+      | 4 servers crash while running "a p", the first beside "a b"          | blocked | served  |
+      | a server crashes 3 times without a restart while running "a p"       | served  | served  |
+      | servers crash 3 times after restarts with the same id                | blocked | served  |
+      | 3 servers crash while running "a p" and as many while running "a b"  | blocked | blocked |
+      | servers crash under "a p" while others crash under "a q"             | blocked | served  |
+      | servers crash under "a p", and others under "a c" of another cause   | blocked | served  |
+
+    Examples: parts that are served
+      | what                                                         | culprit | sound  |
+      | 3 servers crash and then "a p" is served                     | served  | served |
+      | 3 servers crash while an answer to "a p" began before them   | blocked | served |
+      | "a p" is served before the report of a third crash arrives   | served  | served |
+      | "a p" is served, and a third host tells an older crash later | served  | served |
+
+    Examples: crashes that are none
+      | what                                                         | culprit | sound  |
+      | 3 servers break connections and stay reachable               | served  | served |
+      | 3 servers break connections and are gone from the list       | blocked | served |
+      | 3 servers break connections and are unreachable 11 s later   | served  | served |
+      | a host loses 4 servers at once                               | served  | served |
+      | a host loses 4 servers at once, and another answers          | blocked | served |
+      | a host loses 4 servers at once, which are gone from the list | blocked | served |
+
+    Examples: expiry
+      | what                                                               | culprit | sound  |
+      | 3 servers crashed while running "a p" 121 s ago                    | served  | served |
+      | 3 servers crashed while running "a p" 121 s ago, and one more      | blocked | served |
+      | 3 servers crashed while running "a p" 11 minutes ago, and one more | served  | served |
+
+  # Guards against a second server that ends under a request that was cut by a crash.
+  Scenario: A request that was lost is blocked earlier than a new one
+    Given two hosts that exchange updates on prompt parts
+    When 2 servers crash while running "a p" and "a b" is served after each
+    Then a lost request with parts "a p" is blocked and one with parts "a b" is served
+
+  # Guards against a host that runs requests that the others block.
+  Scenario: A host that was disconnected blocks the same requests
+    Given two hosts that exchange updates on prompt parts
+    When 3 servers crash while running "a p" and "a b" is served after each
+    Then a third host that receives the updates of both blocks "a p" and serves "a b"
+
+  # Guards against a block that comes too late or stops sound requests, whatever runs beside the part.
+  Scenario: Generated requests, crashes and delays of messages
+    Then in 60 generated courses few requests with the part run and sound requests are served
--- /dev/null
+++ b/packages/routing/test/parts.ts
@@ -0,0 +1,281 @@
+/** Steps for hosts that find the prompt part on which servers crash. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createManualClock, startMonotonicStopwatch, type ManualClock } from '@bulrushspar/clock';
+import {
+  createPromptPartTracker,
+  type PromptPartTracker,
+  type PromptPartUpdate,
+} from '@bulrushspar/routing';
+import fc from 'fast-check';
+import { playCourse } from './courses.js';
+
+interface PartsWorld {
+  clock: ManualClock;
+  hosts: readonly [PromptPartTracker, PromptPartTracker];
+  /** Updates that were sent and not yet delivered. */
+  pendingUpdates: (() => void)[];
+  deliversAtOnce: boolean;
+  crashCount: number;
+}
+
+const SECOND_MILLISECONDS = 1000;
+const SEED = 20261203;
+
+const split = (parts: string): string[] => parts.split(' ');
+
+Given('two hosts that exchange updates on prompt parts', function createHosts(this: PartsWorld) {
+  const clock = createManualClock();
+  const sendTo = (other: number) => (update: PromptPartUpdate) => {
+    this.pendingUpdates.push(() => this.hosts[other]!.applyUpdate(update));
+    if (this.deliversAtOnce) this.pendingUpdates.splice(0).forEach((deliver) => deliver());
+  };
+  const createHost = (other: number): PromptPartTracker =>
+    createPromptPartTracker({ clock, onUpdate: sendTo(other) });
+  Object.assign(this, {
+    clock,
+    pendingUpdates: [],
+    deliversAtOnce: true,
+    crashCount: 0,
+    hosts: [createHost(1), createHost(0)],
+  });
+});
+
+interface CrashOptions {
+  readonly id?: string;
+  readonly born?: number;
+  readonly isConfirmed?: boolean;
+}
+
+/** A server crashes while it runs requests, which the hosts have sent in turn. */
+async function crash(
+  world: PartsWorld,
+  requests: readonly string[],
+  options: CrashOptions = {},
+): Promise<void> {
+  const { clock, hosts } = world;
+  Object.assign(world, { crashCount: world.crashCount + 1 });
+  const { id = `s${world.crashCount}`, born = 1, isConfirmed = true } = options;
+  await clock.advance(SECOND_MILLISECONDS);
+  requests.forEach((parts, index) => hosts[index % 2]!.recordLoss({ id, born }, split(parts)));
+  await clock.advance(SECOND_MILLISECONDS / 10);
+  if (isConfirmed) hosts.forEach((host) => host.recordUnreachable({ id, born }));
+}
+
+async function crashTimes(
+  world: PartsWorld,
+  times: number,
+  requests: readonly string[],
+  served: string | undefined = undefined,
+): Promise<void> {
+  for (let count = 0; count < times; count += 1) {
+    /* eslint-disable no-await-in-loop -- one crash after the other */
+    await crash(world, requests);
+    if (served !== undefined) await serve(world, served);
+    /* eslint-enable no-await-in-loop */
+  }
+}
+
+/** A request is served by the second host. */
+async function serve({ clock, hosts }: PartsWorld, parts: string): Promise<void> {
+  await clock.advance(10);
+  const sinceBegun = startMonotonicStopwatch(clock);
+  await clock.advance(10);
+  hosts[1].recordServed(split(parts), sinceBegun);
+}
+
+/** The first host loses four servers within 60 ms, which then cannot be reached. */
+async function loseServersAtOnce({ clock, hosts }: PartsWorld): Promise<void> {
+  const servers = ['s1', 's2', 's3', 's4'].map((id) => ({ id, born: 1 }));
+  for (const server of servers) {
+    hosts[0].recordLoss(server, ['a', 'p']);
+    // eslint-disable-next-line no-await-in-loop -- one loss after the other
+    await clock.advance(20);
+  }
+  await clock.advance(100);
+  servers.forEach((server) => hosts[0].recordUnreachable(server));
+}
+
+const EVENTS: Readonly<Record<string, (world: PartsWorld) => Promise<void>>> = {
+  '2 servers crash while running "a p" and "a b"': (world) => crashTimes(world, 2, ['a p', 'a b']),
+  '3 servers crash while running "a p"': (world) => crashTimes(world, 3, ['a p']),
+  '3 servers crash while running "p a" and "a b" is served after each': (world) =>
+    crashTimes(world, 3, ['p a', 'a b'], 'a b'),
+  '3 servers crash while running "a p" and "a b" is served after each': (world) =>
+    crashTimes(world, 3, ['a p', 'a b'], 'a b'),
+  '2 servers crash while running "a p" and "a b" is served after each': (world) =>
+    crashTimes(world, 2, ['a p', 'a b'], 'a b'),
+  '3 servers crash while running "a p" beside "a b"': (world) =>
+    crashTimes(world, 3, ['a p', 'a b']),
+  '3 servers crash while running "a p" beside "a b", then 1 under "a p"': async (world) => {
+    await crashTimes(world, 3, ['a p', 'a b'], 'a c');
+    await crash(world, ['a p']);
+  },
+  '4 servers crash while running "a p", the first beside "a b"': async (world) => {
+    await crash(world, ['a p', 'a b']);
+    await crashTimes(world, 3, ['a p']);
+  },
+  'a server crashes 3 times without a restart while running "a p"': async (world) => {
+    await crash(world, ['a p'], { id: 's1' });
+    await crash(world, ['a p'], { id: 's1' });
+    await crash(world, ['a p'], { id: 's1' });
+  },
+  'servers crash 3 times after restarts with the same id': async (world) => {
+    await crash(world, ['a p'], { id: 's1', born: 1 });
+    await crash(world, ['a p'], { id: 's1', born: 2 });
+    await crash(world, ['a p'], { id: 's1', born: 3 });
+  },
+  '3 servers crash while running "a p" and as many while running "a b"': async (world) => {
+    await crashTimes(world, 3, ['a p'], 'a c');
+    await crashTimes(world, 3, ['a b'], 'a c');
+  },
+  'servers crash under "a p" while others crash under "a q"': async (world) => {
+    await crashTimes(world, 1, ['a p', 'a b'], 'a b');
+    await crashTimes(world, 1, ['a q', 'a b'], 'a b');
+    await crashTimes(world, 1, ['a p', 'a q'], 'a b');
+    await crashTimes(world, 1, ['a q', 'a b'], 'a b');
+    await crashTimes(world, 2, ['a p', 'a b'], 'a b');
+  },
+  'servers crash under "a p", and others under "a c" of another cause': async (world) => {
+    await crashTimes(world, 1, ['a p'], 'a b');
+    await crashTimes(world, 2, ['a p']);
+    await crashTimes(world, 2, ['a c']);
+  },
+  '3 servers crash and then "a p" is served': (world) =>
+    crashTimes(world, 3, ['a p']).then(() => serve(world, 'a p')),
+  '3 servers crash while an answer to "a p" began before them': async (world) => {
+    const sinceBegun = startMonotonicStopwatch(world.clock);
+    await crashTimes(world, 3, ['a p']);
+    world.hosts[1].recordServed(['a', 'p'], sinceBegun);
+  },
+  '"a p" is served before the report of a third crash arrives': async (world) => {
+    await crashTimes(world, 2, ['a p']);
+    Object.assign(world, { deliversAtOnce: false });
+    await crash(world, ['a p']);
+    await serve(world, 'a p');
+    // The second host has told that the part was served, before it learns of the crash.
+    world.pendingUpdates
+      .splice(0)
+      .reverse()
+      .forEach((deliver) => deliver());
+  },
+  '"a p" is served, and a third host tells an older crash later': async (world) => {
+    await crashTimes(world, 2, ['a p']);
+    await serve(world, 'a p');
+    await crashTimes(world, 2, ['a p']);
+    const late = { process: 's9/1', parts: ['a', 'p'], age: 4000 };
+    world.hosts.forEach((host) => host.applyUpdate(late));
+  },
+  '3 servers break connections and stay reachable': async (world) => {
+    await crash(world, ['a p'], { isConfirmed: false });
+    await crash(world, ['a p'], { isConfirmed: false });
+    await crash(world, ['a p'], { isConfirmed: false });
+    world.hosts[0].updateServers(
+      new Map(['s1', 's2', 's3'].map((id) => [id, { id, born: 1 }] as const)),
+    );
+  },
+  '3 servers break connections and are gone from the list': async (world) => {
+    await crash(world, ['a p'], { isConfirmed: false });
+    await crash(world, ['a p'], { isConfirmed: false });
+    await crash(world, ['a p'], { isConfirmed: false });
+    world.hosts[0].updateServers(new Map([['s1', { id: 's1', born: 2 }]]));
+  },
+  '3 servers break connections and are unreachable 11 s later': async (world) => {
+    await crash(world, ['a p'], { isConfirmed: false });
+    await crash(world, ['a p'], { isConfirmed: false });
+    await crash(world, ['a p'], { isConfirmed: false });
+    await world.clock.advance(11 * SECOND_MILLISECONDS);
+    world.hosts[0].updateServers(new Map());
+    ['s1', 's2', 's3'].forEach((id) => world.hosts[0].recordUnreachable({ id, born: 1 }));
+  },
+  'a host loses 4 servers at once': (world) => loseServersAtOnce(world),
+  'a host loses 4 servers at once, and another answers': async (world) => {
+    await loseServersAtOnce(world);
+    world.hosts[0].recordAnswer();
+  },
+  'a host loses 4 servers at once, which are gone from the list': async (world) => {
+    await loseServersAtOnce(world);
+    world.hosts[0].updateServers(new Map());
+  },
+  '3 servers crashed while running "a p" 121 s ago': async (world) => {
+    await crashTimes(world, 3, ['a p']);
+    await world.clock.advance(121 * SECOND_MILLISECONDS);
+  },
+  '3 servers crashed while running "a p" 121 s ago, and one more': async (world) => {
+    await crashTimes(world, 3, ['a p']);
+    await world.clock.advance(121 * SECOND_MILLISECONDS);
+    await crash(world, ['a p']);
+  },
+  '3 servers crashed while running "a p" 11 minutes ago, and one more': async (world) => {
+    await crashTimes(world, 3, ['a p']);
+    await world.clock.advance(11 * 60 * SECOND_MILLISECONDS);
+    await crash(world, ['a p']);
+  },
+};
+
+When(
+  new RegExp(`^(${Object.keys(EVENTS).join('|')})$`),
+  async function runEvent(this: PartsWorld, what: string) {
+    await EVENTS[what]!(this);
+  },
+);
+
+const describe = (host: PromptPartTracker, parts: string, minCrashes?: number): string =>
+  host.findBlocked(split(parts), minCrashes) ? 'blocked' : 'served';
+
+Then(
+  /^a request with parts "(.*)" is (blocked|served) and one with parts "(.*)" is (blocked|served)$/,
+  function check(this: PartsWorld, culprit: string, isCulprit: string, sound: string, is: string) {
+    this.hosts.forEach((host) => {
+      assert.equal(describe(host, culprit), isCulprit, culprit);
+      assert.equal(describe(host, sound), is, sound);
+    });
+  },
+);
+
+Then(
+  'a lost request with parts {string} is blocked and one with parts {string} is served',
+  function check(this: PartsWorld, culprit: string, sound: string) {
+    this.hosts.forEach((host) => {
+      assert.equal(describe(host, culprit, 2), 'blocked');
+      assert.equal(describe(host, sound, 2), 'served');
+      assert.equal(describe(host, culprit), 'served');
+    });
+  },
+);
+
+Then(
+  'a third host that receives the updates of both blocks {string} and serves {string}',
+  async function check(this: PartsWorld, culprit: string, sound: string) {
+    await this.clock.advance(60 * SECOND_MILLISECONDS);
+    const third = createPromptPartTracker({ clock: this.clock });
+    this.hosts.flatMap((host) => host.listUpdates()).forEach(third.applyUpdate);
+    assert.equal(describe(third, culprit), 'blocked');
+    assert.equal(describe(third, sound), 'served');
+  },
+);
+
+Then(
+  'in {int} generated courses few requests with the part run and sound requests are served',
+  { timeout: 60_000 },
+  async (courses: number) => {
+    const course = fc.record({
+      seed: fc.integer(),
+      hosts: fc.integer({ min: 1, max: 5 }),
+      requestsPerSecond: fc.integer({ min: 20, max: 80 }),
+      culpritFraction: fc.double({ min: 0.005, max: 0.06, noNaN: true }),
+      isFirstPart: fc.boolean(),
+    });
+    await fc.assert(
+      fc.asyncProperty(course, async (options) => {
+        const result = await playCourse(options);
+        assert(result.lateCrashes <= 3, `late crashes: ${JSON.stringify(result)}`);
+        assert(
+          result.soundBlocked <= result.sound / 100,
+          `sound requests blocked: ${JSON.stringify(result)}`,
+        );
+      }),
+      { seed: SEED, numRuns: courses },
+    );
+  },
+);
