Stop requests that crash servers by a common prompt part

Cause: crashes were counted for each request by its content only, and a stream that was cut by a crash ran again at a second server.

Now each host records the prompt parts of the requests that a server breaks off, confirms the crash (a report fetched over a new connection 0.1 s later, a failed connect, or the list of servers) and tells the other hosts (message prompt-parts, passed on by hubs if it is new, all of it over a new link). Requests are checked at admission and before each send: a new one is refused from three crashes on, one that was lost itself is not sent again from two on. A served request clears its parts. Hosts of an earlier build ignore the message.

Evidence: serving/parts on the code before this change:

5 scenarios (3 failed, 2 passed) Requests that share only the part on which servers crash AssertionError: 43 servers crashed (at most 4) A request that was lost is not sent again 2 !== 1 (servers that received it) A request that waits for its model is blocked meanwhile + 'a broken answer' - '503'

After it all 5 pass, and so do the 10 of entry/crashes, whose interface is new. serving/serve passes the new option to the handler; no check of it has changed.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -36,6 +36,7 @@
   type ObjectStore,
   type ObjectView,
 } from '@bulrushspar/store';
+import { createCrashWatch } from './crashes.js';
 import { createFleet, type Fleet } from './fleet.js';
 import { createForwarding, type Forwarding } from './forward.js';
 import { createGossip } from './gossip.js';
@@ -162,6 +163,13 @@
     clock,
     onUpdate: (news) => fleet.broadcast(MESSAGE.SUSPECT, news),
   });
+  const promptParts = createCrashWatch({
+    clock,
+    logger,
+    current: () => directory.current(),
+    report: (server) => pausingControl.report(server),
+    onUpdate: (update) => fleet.broadcast(MESSAGE.PROMPT_PARTS, update),
+  });
   const retryBudget = createRetryBudget({
     clock,
     retriesPerRequest: bounds.retriesPerRequest,
@@ -184,6 +192,7 @@
     clock,
     onChange: (view) => {
       servers.update(view);
+      promptParts.updateServers(view);
       streams.updateServers(view);
       leadership.setServers(view);
       onServers(view);
@@ -342,6 +351,7 @@
     followers,
     commander: leadership.commander,
     suspects,
+    promptParts,
     servers,
     directory,
     streams,
@@ -364,6 +374,7 @@
     handlers,
     onLink: (link) => {
       suspects.listUpdates().forEach((news) => link.send(MESSAGE.SUSPECT, news));
+      promptParts.listUpdates().forEach((update) => link.send(MESSAGE.PROMPT_PARTS, update));
       gossip.sendInitialState(link);
     },
     onLost: (name) => {
@@ -409,6 +420,7 @@
     demand: { ...demand, recordRequests: (model, credit) => gossip.recordRequest(model, credit) },
     budget: retryBudget,
     suspects,
+    promptParts,
     send: options.send,
     streams,
     onNotice: applyNotice,
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -2,7 +2,7 @@
 import type { ServerDirectory } from '@bulrushspar/catalogue';
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
-import type { SuspectTracker } from '@bulrushspar/routing';
+import type { PromptPartTracker, SuspectTracker } from '@bulrushspar/routing';
 import type { ServerStates, StreamVersions } from '@bulrushspar/serving';
 import type { Fleet } from './fleet.js';
 import type { Forwarding } from './forward.js';
@@ -18,6 +18,7 @@
   type ForwardedRequest,
   type HostState,
   type OutlookMessage,
+  type PromptPartsMessage,
   type PullMessage,
   type StatesMessage,
   type SuspectMessage,
@@ -34,6 +35,7 @@
   readonly followers: readonly KindFollower[];
   readonly commander: LoadCoordinator;
   readonly suspects: SuspectTracker;
+  readonly promptParts: PromptPartTracker;
   readonly servers: ServerStates;
   readonly directory: ServerDirectory;
   readonly streams: StreamVersions;
@@ -49,6 +51,7 @@
     followers,
     commander,
     suspects,
+    promptParts,
     servers,
     directory,
     streams,
@@ -120,5 +123,10 @@
       suspects.applyUpdate(body as SuspectMessage);
       fleet().relay(MESSAGE.SUSPECT, body as SuspectMessage, from.host);
     },
+    [MESSAGE.PROMPT_PARTS]: (body, from) => {
+      const message = body as PromptPartsMessage;
+      // Several hosts may have told the same; each host passes it on once.
+      if (promptParts.applyUpdate(message)) fleet().relay(MESSAGE.PROMPT_PARTS, message, from.host);
+    },
   };
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,6 +6,7 @@
   type EntryOptions,
   type FleetBounds,
 } from './entry.js';
+export { createCrashWatch, type CrashWatchOptions } from './crashes.js';
 export { createFleet, type Fleet, type FleetOptions } from './fleet.js';
 export { createGossip, type Gossip, type GossipOptions } from './gossip.js';
 export {
@@ -18,6 +19,7 @@
   type ListedPeer,
   type OwnRecord,
 } from './group.js';
+export { createHandlers, type HandlersOptions } from './handlers.js';
 export { createFleetLinks, type FleetLinks, type FleetLinksOptions } from './links.js';
 export {
   MESSAGE,
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,6 @@
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
-import type { SuspectUpdate } from '@bulrushspar/routing';
+import type { PromptPartUpdate, SuspectUpdate } from '@bulrushspar/routing';
 import type { BegunStream } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
 import type { RunningRequests } from './totals.js';
@@ -35,6 +35,8 @@
   PULL: 'pull',
   /** A server crashed while it ran the request. */
   SUSPECT: 'suspect',
+  /** A server crashed while it ran prompt parts, or prompt parts were served since. */
+  PROMPT_PARTS: 'prompt-parts',
 } as const;
 
 /** A host's report on its lease for orders. */
@@ -192,3 +194,6 @@
 
 /** Body of {@link MESSAGE.SUSPECT}. */
 export type SuspectMessage = SuspectUpdate & Relayed;
+
+/** Body of {@link MESSAGE.PROMPT_PARTS}. */
+export type PromptPartsMessage = PromptPartUpdate & Relayed;
--- a/packages/serving/src/answer.ts
+++ b/packages/serving/src/answer.ts
@@ -52,7 +52,10 @@
     },
   );
 
-const isSuccess = (status: number): boolean => status >= OK && status < FIRST_REDIRECT;
+/** @returns whether a status is one of success, 200 to 299 */
+export function isSuccess(status: number): boolean {
+  return status >= OK && status < FIRST_REDIRECT;
+}
 
 /** Throws an {@link AnswerError} if an answer must not be passed to the caller. */
 function validateHead(head: AnswerHead, { callId, mayRetry }: AnswerOptions): void {
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,13 +1,18 @@
 /** Attempts of one request: selects servers, sends the request and handles failures. */
 import { ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
-import { startStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
+import {
+  startMonotonicStopwatch,
+  startStopwatch,
+  type Clock,
+  type Stopwatch,
+} from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
-import { sendUntilAnswered, type Relay, type SuspectTracker } from '@bulrushspar/routing';
+import { sendUntilAnswered, type Relay } from '@bulrushspar/routing';
 import type { RetryBudget } from '@bulrushspar/shares';
 import { EXCHANGE_FAULT, isExchangeError, EXCHANGE_PROGRESS } from '@bulrushspar/targets';
 import type { AdmittedRequest } from './admit.js';
-import { ANSWER_FAULT, isAnswerError } from './answer.js';
+import { ANSWER_FAULT, isAnswerError, isSuccess } from './answer.js';
 import {
   isRetryable,
   type AnswerHead,
@@ -18,6 +23,7 @@
   type ServerNotice,
 } from './call.js';
 import { selectServer, promptPartKey } from './choose.js';
+import type { CrashGuard } from './crashes.js';
 import type { ServingMetrics } from './metrics.js';
 import type { ServerState, ServerStates } from './servers.js';
 import {
@@ -48,6 +54,8 @@
   possibleRunCount: number;
   /** Software version at which the stream must go on, once it has begun. */
   requiredVersion: string | undefined;
+  /** Started when the server of the last attempt began an answer that marks its own end. */
+  sinceBegun: Stopwatch | undefined;
 }
 
 /** Sends each request to servers until one of them answers it. */
@@ -71,7 +79,7 @@
   readonly servers: ServerStates;
   readonly waits: ModelWaits;
   readonly budget: RetryBudget;
-  readonly suspects: SuspectTracker;
+  readonly crashGuard: CrashGuard;
   readonly send: SendCall<SomeCall>;
   /** Which software version began each stream. */
   readonly streams: StreamVersions;
@@ -114,7 +122,7 @@
   options: AttemptRunnerOptions<SomeCall>,
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, budget, suspects, send, streams, ensureAdapter, onNotice = () => {} } = options;
+  const { waits, budget, crashGuard, send, streams, ensureAdapter, onNotice = () => {} } = options;
 
   /** Servers of the request's service; for a stream that has begun only those of its version. */
   const listServers = ({
@@ -290,6 +298,7 @@
     const silenceController = new AbortController();
     const cancelSilenceTimeout = startSilenceTimeout(request, silenceController);
     const sink = relay.openSink();
+    Object.assign(request, { sinceBegun: undefined });
     changeOutstanding(state, call.requirements?.model, 1);
     if (call.requirements) recordPromptParts(state, call.requirements);
     try {
@@ -306,6 +315,9 @@
         {
           onHead: (head, flow) => {
             cancelSilenceTimeout();
+            crashGuard.recordAnswer();
+            if (isSuccess(head.status) && head.framed)
+              Object.assign(request, { sinceBegun: startMonotonicStopwatch(clock) });
             recordLoad(state, head);
             if (head.notice) onNotice(state.entry, head.notice);
             sink.onHead(head, flow);
@@ -370,6 +382,7 @@
       why: errorMessage(error),
     });
     if (rejected || notSent) {
+      if (notSent) crashGuard.recordUnreachable(state.entry);
       servers.avoid(state, notSent ? UNREACHABLE_AVOID_MILLISECONDS : REJECTED_AVOID_MILLISECONDS);
       if (requirements?.adapter !== undefined)
         state.adapterLoadTimes.delete(`${requirements.model}/${requirements.adapter}`);
@@ -377,7 +390,9 @@
     }
     servers.recordOutcome(state, true);
     const connectionLost = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
-    if (connectionLost) suspects.recordCrash(call.fingerprint(), state.entry.id, sinceSent);
+    if (connectionLost) crashGuard.recordLoss(call, state.entry, sinceSent);
+    else if (status !== undefined && isSuccess(status))
+      crashGuard.recordIncomplete(call, state.entry);
     const isFinal = !mayRetry(request);
     Object.assign(request, { possibleRunCount: request.possibleRunCount + 1 });
     if (isFinal) throw createTargetFailedRefusal(error);
@@ -409,7 +424,11 @@
     lastError: unknown,
   ): Promise<ServerState> => {
     try {
+      // A request that waits or was lost may be blocked by crashes that came after its admission.
+      const wasLost = request.possibleRunCount > 0;
+      if (wasLost) crashGuard.check(request.call, wasLost);
       const state = await prepareServer(request);
+      crashGuard.check(request.call, wasLost);
       chargeRetryBudget(request, lastError);
       return state;
     } catch (error) {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -35,6 +35,7 @@
   type ServerLoad,
   type ServerNotice,
 } from './call.js';
+export { createCrashGuard, type CrashGuard, type CrashGuardOptions } from './crashes.js';
 export {
   selectServer,
   estimateDelayMilliseconds,
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -19,22 +19,20 @@
   createVersionUnknownRefusal,
 } from './refusals.js';
 import type { Call, Reply } from './call.js';
+import { createCrashGuard, type CrashGuardOptions } from './crashes.js';
 
 /** Answers or refuses one request; never rejects. */
 export type RequestHandler<SomeCall extends Call> = (call: SomeCall, reply: Reply) => Promise<void>;
 
 /** Options of {@link createRequestHandler}. */
-export interface RequestHandlerOptions<
-  SomeCall extends Call,
-> extends AttemptRunnerOptions<SomeCall> {
+export interface RequestHandlerOptions<SomeCall extends Call>
+  extends Omit<AttemptRunnerOptions<SomeCall>, 'crashGuard'>, CrashGuardOptions {
   readonly admission: Admission;
   readonly demand: DemandTracker;
   /** @returns the refusal of all new requests while this host is stopping */
   readonly getStoppingRefusal: () => Refusal | undefined;
 }
 
-/** Number of server crashes while running a request after which that request is refused. */
-const MAX_CRASHES = 3;
 const MILLISECONDS_PER_SECOND = 1000;
 
 const createDeadlineRefusal = (ran: Ran): Refusal =>
@@ -54,9 +52,10 @@
 export function createRequestHandler<SomeCall extends Call>(
   options: RequestHandlerOptions<SomeCall>,
 ): RequestHandler<SomeCall> {
-  const { clock, logger, metrics, admission, demand, suspects, streams } = options;
+  const { clock, logger, metrics, admission, demand, streams } = options;
   const { getStoppingRefusal } = options;
-  const attemptRunner = createAttemptRunner(options);
+  const crashGuard = createCrashGuard(options);
+  const attemptRunner = createAttemptRunner({ ...options, crashGuard });
 
   const refuse = (call: SomeCall, reply: Reply, error: unknown, milliseconds: number): void => {
     const { refusal, message } = isRefusal(error) ? error : createTargetFailedRefusal(error);
@@ -85,26 +84,10 @@
   const admit = (call: SomeCall): AdmittedRequest => {
     const refusal = getStoppingRefusal();
     if (refusal) throw refusal;
-    if (!suspects.isEmpty() && suspects.countCrashes(call.fingerprint()) >= MAX_CRASHES) {
-      throw createRefusal({
-        status: 503,
-        code: REFUSAL.CRASHES_SERVERS,
-        message: 'the request is blocked because several servers crashed while running it',
-      });
-    }
+    crashGuard.check(call, false);
     return admission.admit(call);
   };
 
-  /**
-   * Clears the crashes recorded for a request that was served. Connections can be lost for reasons
-   * other than a crash, and a request that was served does not crash servers.
-   */
-  const clearCrashes = (call: SomeCall): void => {
-    if (suspects.isEmpty()) return;
-    const fingerprint = call.fingerprint();
-    if (suspects.countCrashes(fingerprint) > 0) suspects.clear(fingerprint);
-  };
-
   /** Creates a signal that aborts the request at its deadline or when its caller disconnects. */
   const createDeadlineSignal = (reply: Reply, milliseconds: number, wasSent: () => boolean) => {
     const controller = new AbortController();
@@ -164,12 +147,13 @@
       sendCount: 0,
       possibleRunCount: 0,
       requiredVersion: undefined,
+      sinceBegun: undefined,
     };
     if (call.requirements) demand.recordRequests(call.requirements.model, 1);
     try {
       Object.assign(request, { requiredVersion: findRequiredVersion(call, admitted) });
       const state = await attemptRunner.run(request);
-      clearCrashes(call);
+      crashGuard.recordServed(call, request.sinceBegun);
       logger.info('served', {
         request: call.id,
         server: state.entry.id,
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -5,7 +5,7 @@
 import type { FleetConfiguration, Route, ServerEntry } from '@bulrushspar/catalogue';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import { createDemandTracker } from '@bulrushspar/loading';
-import { createSuspectTracker } from '@bulrushspar/routing';
+import { createPromptPartTracker, createSuspectTracker } from '@bulrushspar/routing';
 import {
   createAdmission,
   createModelWaits,
@@ -266,6 +266,7 @@
       hosts: () => 1,
     }),
     suspects: createSuspectTracker({ clock }),
+    promptParts: createPromptPartTracker({ clock }),
     streams: world.streams,
     ensureAdapter: () => Promise.resolve(true),
     getStoppingRefusal: () => undefined,
