Keep the pause between the orders of two hosts through a third one

Cause: such a host had sent no order and reported so; the next leader took that for no order by anyone. A released lease also named it as the former host, so that its restart in place waited for nobody. Now the report of an ended term counts the orders before it as far as its handover lasts, and a release within the handover keeps the former host in the record.

--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -44,7 +44,10 @@
   readonly fencing: number;
   /** The host sends no more orders under this fencing number. */
   readonly over: boolean;
-  /** Milliseconds since the host's last order; absent if it has sent none. */
+  /**
+   * Milliseconds since the host's last order or, if its term has ended within its handover, the one of
+   * the host before it; absent if there was none.
+   */
   readonly sinceOrder?: number | undefined;
   /**
    * Milliseconds since the last order, by server; present once the term is over. Servers without an
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -104,6 +104,7 @@
   let lastDescribed: OrderLease | undefined;
   let sinceOrder: Stopwatch | undefined;
   const sinceOrderAt = new Map<string, Stopwatch>();
+  let serverIds: readonly string[] = [];
 
   const newestReceived = (): ReceivedLease | undefined => {
     let found: ReceivedLease | undefined;
@@ -174,11 +175,20 @@
     lease.abandon();
   });
 
+  /** Milliseconds since an order of this host or, within its handover, of the host before it. */
+  const millisecondsSinceOrder = (server?: string): number => {
+    const sinceOwn = server === undefined ? sinceOrder : sinceOrderAt.get(server);
+    const handoverRemaining = lease.handoverRemainingMilliseconds(server);
+    const sinceFormer = handoverRemaining > 0 ? handoverMilliseconds - handoverRemaining : Infinity;
+    return Math.min(sinceOwn?.() ?? Infinity, sinceFormer);
+  };
+
   /** Milliseconds since the last order, for servers within the handover time of the next leader. */
   const recentOrders = (): Record<string, number> => {
     const recent: Record<string, number> = {};
-    sinceOrderAt.forEach((since, server) => {
-      if (since() < handoverMilliseconds) recent[server] = Math.round(since());
+    new Set([...serverIds, ...sinceOrderAt.keys()]).forEach((server) => {
+      const since = millisecondsSinceOrder(server);
+      if (since < handoverMilliseconds) recent[server] = Math.round(since);
       else sinceOrderAt.delete(server);
     });
     return recent;
@@ -193,9 +203,13 @@
       lease.abandon();
       lastDescribed = { ...lastDescribed, over: true };
     }
-    if (!lastDescribed || !sinceOrder) return lastDescribed;
-    const since = { ...lastDescribed, sinceOrder: Math.round(sinceOrder()) };
-    return lastDescribed.over ? { ...since, sinceOrderAt: recentOrders() } : since;
+    if (!lastDescribed?.over) {
+      if (!lastDescribed || !sinceOrder) return lastDescribed;
+      return { ...lastDescribed, sinceOrder: Math.round(sinceOrder()) };
+    }
+    const since = millisecondsSinceOrder();
+    if (!Number.isFinite(since)) return lastDescribed;
+    return { ...lastDescribed, sinceOrder: Math.round(since), sinceOrderAt: recentOrders() };
   };
 
   const commander = createLoadCoordinator({
@@ -249,7 +263,10 @@
       const found = newestReceived();
       return found && !found.over && found.since() < TERM_MILLISECONDS ? found.host : undefined;
     },
-    setServers: commander.setServers,
+    setServers: (servers) => {
+      serverIds = [...servers.keys()];
+      commander.setServers(servers);
+    },
     run: async (signal) => {
       await lease.run(signal);
       stopRenewalCheck();
--- a/packages/entry/test/orders.feature
+++ b/packages/entry/test/orders.feature
@@ -20,3 +20,14 @@
     When neither reaches the store for 2300 ms, and the first reports that its term is over
     And the first reaches the store again
     Then it holds the lease under a higher fencing number than that of the ended term
+
+  # The third leader knew no order of the second one, and ordered at once after the first one's order.
+  Scenario Outline: A leader whose term ends within its handover passes on the orders before it
+    Given three hosts that contend for the lease for orders
+    When the first has ordered "s1" and stops, and the second <ends> once it is the leader
+    Then the third orders "s1" at least 3300 ms after the first did
+
+    Examples:
+      | ends            |
+      | stops           |
+      | loses the store |
--- a/packages/entry/test/orders.ts
+++ b/packages/entry/test/orders.ts
@@ -1,4 +1,4 @@
-/** Two hosts that send orders to the same servers, one after the other. */
+/** Hosts that send orders to the same servers, one after the other. */
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { FleetConfiguration, ServerEntry } from '@bulrushspar/catalogue';
@@ -15,6 +15,7 @@
 }
 
 interface OrderingHost {
+  readonly name: string;
   readonly leadership: OrderLeadership;
   readonly stopping: AbortController;
   reachesStore: boolean;
@@ -23,7 +24,8 @@
 
 interface LeadershipWorld {
   clock: ManualClock;
-  hosts: [OrderingHost, OrderingHost];
+  /** Two hosts, or three. */
+  hosts: [OrderingHost, OrderingHost, ...OrderingHost[]];
   sentOrders: SentOrder[];
   /** Latest time at which the first host could still have sent an order, by the manual clock. */
   firstTermEnd: number;
@@ -136,6 +138,7 @@
   });
   leadership.setServers(SERVERS);
   const orderingHost: OrderingHost = {
+    name: host,
     leadership,
     stopping,
     reachesStore: true,
@@ -153,9 +156,12 @@
     // eslint-disable-next-line no-await-in-loop -- time advances in steps
     await clock.advance(STEP_MILLISECONDS);
     if (clock.monotonic() % STATE_INTERVAL_MILLISECONDS < STEP_MILLISECONDS) {
-      const [first, second] = hosts;
-      if (!first.isDead) second.leadership.receiveLease('a', first.leadership.describeLease());
-      first.leadership.receiveLease('b', second.leadership.describeLease());
+      hosts
+        .filter(({ isDead }) => !isDead)
+        .forEach((sender) => {
+          const report = sender.leadership.describeLease();
+          hosts.forEach(({ leadership }) => leadership.receiveLease(sender.name, report));
+        });
     }
   }
 }
@@ -167,12 +173,13 @@
   );
 
 Given(
-  'two hosts that contend for the lease for orders',
-  async function begin(this: LeadershipWorld) {
+  /^(two|three) hosts that contend for the lease for orders$/,
+  async function begin(this: LeadershipWorld, count: string) {
     this.clock = createManualClock();
     this.sentOrders = [];
     const store = createMemoryStore();
     this.hosts = [createOrderingHost(this, store, 'a', 0), createOrderingHost(this, store, 'b', 1)];
+    if (count === 'three') this.hosts.push(createOrderingHost(this, store, 'c', 2));
     await advanceAndExchange(this, 1000);
   },
 );
@@ -200,6 +207,32 @@
   },
 );
 
+const isLeader = ({ leadership }: OrderingHost): boolean =>
+  leadership.describeLease()?.over === false;
+
+When(
+  /^the first has ordered "s1" and stops, and the second (stops|loses the store) once it is the leader$/,
+  async function stop(this: LeadershipWorld, how: string) {
+    const [first, second, third] = this.hosts;
+    setWants(first, ['m1']);
+    await advanceAndExchange(this, 500);
+    assert.deepEqual(
+      this.sentOrders.map(({ host, server }) => `${host} ${server}`),
+      ['a s1'],
+    );
+    setWants(first, []);
+    first.stopping.abort();
+    const end = this.clock.monotonic() + TERM_MILLISECONDS;
+    while (!isLeader(second) && this.clock.monotonic() < end)
+      // eslint-disable-next-line no-await-in-loop -- time advances in steps
+      await advanceAndExchange(this, STEP_MILLISECONDS);
+    assert(isLeader(second));
+    if (how === 'stops') second.stopping.abort();
+    else second.reachesStore = false;
+    setWants(third!, ['m2', 'm3']);
+  },
+);
+
 When(
   'neither reaches the store for {int} ms, and the first reports that its term is over',
   async function disconnectStore(this: LeadershipWorld, milliseconds: number) {
@@ -225,31 +258,44 @@
   },
 );
 
-const findOrderOfSecond = (world: LeadershipWorld, server: string): SentOrder =>
-  world.sentOrders.find((order) => order.host === 'b' && order.server === server)!;
+const HOST_NAMES: Readonly<Record<string, string>> = { second: 'b', third: 'c' };
 
-async function advanceUntilOrdered(world: LeadershipWorld, server: string, milliseconds: number) {
+/** @param which "second" or "third" host */
+async function advanceUntilOrdered(
+  world: LeadershipWorld,
+  which: string,
+  server: string,
+  milliseconds: number,
+) {
+  const findOrder = (): SentOrder | undefined =>
+    world.sentOrders.find((order) => order.host === HOST_NAMES[which] && order.server === server);
   const end = world.clock.monotonic() + milliseconds;
-  while (!findOrderOfSecond(world, server) && world.clock.monotonic() < end) {
+  while (!findOrder() && world.clock.monotonic() < end) {
     // eslint-disable-next-line no-await-in-loop -- time advances in steps
     await advanceAndExchange(world, STEP_MILLISECONDS);
   }
-  assert(findOrderOfSecond(world, server), `no order to ${server}`);
-  Object.assign(world, { foundOrder: findOrderOfSecond(world, server) });
+  assert(findOrder(), `no order to ${server}`);
+  Object.assign(world, { foundOrder: findOrder() });
 }
 
 Then(
   'the second orders {string} within {int} ms',
   async function check(this: LeadershipWorld, server: string, milliseconds: number) {
     // The first host abandons the lease within 1,100 ms after it has lost the store.
-    await advanceUntilOrdered(this, server, 1100 + milliseconds);
+    await advanceUntilOrdered(this, 'second', server, 1100 + milliseconds);
   },
 );
 
 Then(
-  /^the second orders "(s\d)" at least (\d+) ms after the first (did|could still order)$/,
-  async function check(this: LeadershipWorld, server: string, milliseconds: string, what: string) {
-    await advanceUntilOrdered(this, server, 10_000);
+  /^the (second|third) orders "(s\d)" at least (\d+) ms after the first (did|could still order)$/,
+  async function check(
+    this: LeadershipWorld,
+    which: string,
+    server: string,
+    milliseconds: string,
+    what: string,
+  ) {
+    await advanceUntilOrdered(this, which, server, 10_000);
     const first = this.sentOrders.find((order) => order.host === 'a' && order.server === server);
     const since = what === 'did' ? first!.at : this.firstTermEnd;
     assert(this.foundOrder.at - since >= Number(milliseconds));
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -258,7 +258,9 @@
     lastRenewal = undefined;
     const found = await store.read<LeaseRecord>(key);
     if (!found || !isSelf(found.value.holder)) return;
-    await writeRecord(found.version, { fencing: found.value.fencing, former: self.host });
+    // A release within the handover must not shorten it for the next holder.
+    const former = isInHandover() ? formerHost! : self.host;
+    await writeRecord(found.version, { fencing: found.value.fencing, former });
   };
 
   return {
