Relay of the tests passes a reset on as a reset

A reset of a server's connection reached the other end as an orderly close, so that an answer that has neither length nor chunks and is reset looked complete to hosts in tests.

--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -59,7 +59,9 @@
       from.on('close', () => {
         if (!connection.silent) closeConnection();
       });
-      from.on('error', () => {});
+      from.on('error', ({ code }: NodeJS.ErrnoException) => {
+        if (code === 'ECONNRESET' && !connection.silent) to.resetAndDestroy();
+      });
     });
   };
 
