Find the ends of events whose lines end with CR or CRLF

A resumable stream whose server ends lines with CRLF or CR was held back until it ended and then counted as incomplete, since only LF LF ended an event. The splitter now follows the line endings of the event-stream format, across chunks, and no longer copies the held bytes at each chunk.

--- a/packages/routing/src/events.ts
+++ b/packages/routing/src/events.ts
@@ -8,24 +8,72 @@
   pendingBytes(): number;
 }
 
-const EVENT_SEPARATOR = Buffer.from('\n\n');
-const ID_LINE = /(?:^|\n)id:[ ]?([^\n]*)\n/g;
+/** Finds the ends of events in a stream whose lines end with LF, CR or CRLF. */
+export interface EventScanner {
+  /** @returns the number of bytes of the chunk up to the end of its last complete event */
+  scan(chunk: Buffer): number;
+  /** @returns whether the bytes so far end inside an event */
+  isInsideEvent(): boolean;
+}
+
+const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const ID_LINE = /(?:^|[\r\n])id:[ ]?([^\r\n]*)/g;
+
+/** Creates a scanner for one event stream. */
+export function createEventScanner(): EventScanner {
+  let isInsideEvent = false;
+  let isInsideLine = false;
+  let followsCarriageReturn = false;
+  return {
+    scan: (chunk) => {
+      let completeBytes = 0;
+      for (let index = 0; index < chunk.length; index += 1) {
+        const byte = chunk[index];
+        const endsSameLine = byte === LINE_FEED && followsCarriageReturn;
+        followsCarriageReturn = byte === CARRIAGE_RETURN;
+        if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
+          isInsideLine = true;
+          isInsideEvent = true;
+        } else {
+          if (!endsSameLine && !isInsideLine) isInsideEvent = false;
+          isInsideLine = false;
+          if (!isInsideEvent) completeBytes = index + 1;
+        }
+      }
+      return completeBytes;
+    },
+    isInsideEvent: () => isInsideEvent,
+  };
+}
 
 /** Creates a splitter for one event stream. */
 export function createEventSplitter(): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0);
+  const scanner = createEventScanner();
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
   let lastEventId: string | undefined;
+
+  const hold = (bytes: Buffer): void => {
+    if (bytes.length > 0) pending.push(bytes);
+    pendingBytes += bytes.length;
+  };
+
   return {
     push: (chunk) => {
-      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const separatorIndex = pending.lastIndexOf(EVENT_SEPARATOR);
-      if (separatorIndex < 0) return undefined;
-      const complete = pending.subarray(0, separatorIndex + EVENT_SEPARATOR.length);
-      pending = pending.subarray(separatorIndex + EVENT_SEPARATOR.length);
+      const completeBytes = scanner.scan(chunk);
+      if (completeBytes === 0) {
+        hold(chunk);
+        return undefined;
+      }
+      const complete = Buffer.concat([...pending, chunk.subarray(0, completeBytes)]);
+      pending = [];
+      pendingBytes = 0;
+      hold(chunk.subarray(completeBytes));
       for (const match of complete.toString('latin1').matchAll(ID_LINE)) [, lastEventId] = match;
       return complete;
     },
     lastEventId: () => lastEventId,
-    pendingBytes: () => pending.length,
+    pendingBytes: () => pendingBytes,
   };
 }
