Keep the process alive when a paused answer's connection ends

Where a server ended an answer with its connection (no length and no chunks, or Connection: close) while the caller was slow enough for the answer to be paused, undici's parser failed an assertion (assert(!this.paused)) in a socket listener, outside of any exchange: the whole host process ended, with all its requests. Closing and resetting did it alike. Through the connection pool of the product's gateway an answer without a length that was reset also counted as complete; only the platform's connections noticed that.

All clients of targets are now created in one place, which resumes a paused answer before its connection ends and keeps undici from taking ECONNRESET for the end of an answer.

--- a/packages/routing/test/events.ts
+++ b/packages/routing/test/events.ts
@@ -15,8 +15,9 @@
 });
 
 When('it arrives in chunks of each size', function split(this: EventWorld) {
-  this.results = this.stream.map((_byte, index) => index + 1).reduce<EventWorld['results']>(
-    (results, size) => {
+  this.results = this.stream
+    .map((_byte, index) => index + 1)
+    .reduce<EventWorld['results']>((results, size) => {
       const splitter = createEventSplitter();
       let complete = '';
       for (let index = 0; index < this.stream.length; index += size) {
@@ -24,9 +25,7 @@
       }
       const id = splitter.lastEventId() ?? 'none';
       return [...results, { complete, id, pending: splitter.pendingBytes() }];
-    },
-    [],
-  );
+    }, []);
 });
 
 Then(
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -1,5 +1,6 @@
-import { Client, Pool, type Dispatcher } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
 import { wrapError } from '@bulrushspar/errors';
+import { createTargetClient } from './client.js';
 
 /** HTTP request to a target. */
 export interface TargetCall {
@@ -217,15 +218,15 @@
 
 /** Creates the connections to a target; none opens before the first call. */
 export function createConnections(origin: string): Connections {
-  const connect = { timeout: CONNECT_TIMEOUT_MILLISECONDS };
+  const createClient = () =>
+    createTargetClient({ origin, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS });
   const sharedPool = new Pool(origin, {
-    pipelining: 1,
     connections: MAX_CONNECTIONS_PER_TARGET,
-    connect,
+    factory: createClient,
   });
   return {
     pool: sharedPool,
-    createSingleUseClient: () => new Client(origin, { pipelining: 1, connect }),
+    createSingleUseClient: createClient,
     close: () => sharedPool.close(),
   };
 }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP clients for targets: engines and plain services. */
+export { createTargetClient, type TargetClientOptions } from './client.js';
 export {
   createHttpEngine,
   ORDER,
