Reset a stream that cannot be resumed and ends inside an event

A stream of a route without resumption whose server ended it inside an event, with an orderly close or a last chunk, reached its caller as complete. The relay only looked for the ends of events where a stream can be resumed. It now follows them in every stream and treats such an end as a failed attempt; the body of an error answer still has no events.

Before: serving/serve 'stream up to 3.5 and end' gave 'events 123 end' instead of 'events 123!'.

--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -1,5 +1,10 @@
 import type { FlowControl } from '@bulrushspar/targets';
-import { createEventSplitter, type EventSplitter } from './events.js';
+import {
+  createEventScanner,
+  createEventSplitter,
+  type EventScanner,
+  type EventSplitter,
+} from './events.js';
 
 /** Writes an answer to its caller. */
 export interface AnswerWriter {
@@ -139,6 +144,7 @@
   let lastEventId = options.lastEventId;
   let flow: FlowControl | undefined;
   let splitter: EventSplitter | undefined;
+  let scanner: EventScanner | undefined;
   let head: Head | undefined;
   let pendingBytes = 0;
   let bodyBytes = 0;
@@ -168,6 +174,7 @@
   return {
     openSink: () => {
       splitter = resumable ? createEventSplitter() : undefined;
+      scanner = createEventScanner();
       pendingBytes = 0;
       return {
         onHead: (answerHead, control) => {
@@ -184,7 +191,7 @@
     hasBegun: writer.hasBegun,
     lastEventId: () => lastEventId,
     finish: () => {
-      if (pendingBytes > 0) throw options.createIncompleteError(head!);
+      if (pendingBytes > 0 || scanner?.isInsideEvent()) throw options.createIncompleteError(head!);
       checkEnd(head!, bodyBytes);
       writeHead();
       writer.end();
@@ -193,7 +200,12 @@
 
   /** Forwards a chunk; the body of an error answer is not split into events. */
   function handleChunk(chunk: Buffer): void {
-    if (splitter && head && isSuccess(head.status)) writeCompleteEvents(chunk);
-    else writeChunk(chunk);
+    const hasEvents = head !== undefined && isSuccess(head.status);
+    if (splitter && hasEvents) {
+      writeCompleteEvents(chunk);
+      return;
+    }
+    if (hasEvents) scanner!.scan(chunk);
+    writeChunk(chunk);
   }
 }
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -41,6 +41,9 @@
       | resumable | are cut, stream                     | events 12345 end  | 2     |
       | resumable | stream up to 2 and are cut, stream up to 4 and are cut | events 1234! | 2 |
       | resumable | stream up to 3.5 and end, stream    | events 12345 end  | 2     |
+      | stream    | stream up to 3 and end              | events 123 end    | 1     |
+      | stream    | stream up to 3.5 and end            | events 123!       | 1     |
+      | stream    | fail                                | 500               | 1     |
 
   Scenario: No server answers a request before its deadline
     Given a once route
