Bound the memory of answers and events without end

A server that sent a body or an event without end filled the memory of the host: up to 16 MB for each request, in chunks that keep the whole buffer of their socket (a chunk of one byte as well), and without any bound for an event that does not end, whose bytes were copied again at each chunk. A dozen of them ended a process with 200 MB.

Answers that are held until they are complete now share 64 MB on a host, 16 MB each as before; one may hold at most as much as is left for all others, so that small ones always have room. An event may have 1 MB. What exceeds a bound is a failed attempt: a request that may be repeated goes to another server, others end with 502.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,11 @@
 /** Server choice, admission queues, retries and answer relays, shared by all front ends. */
+export {
+  createAnswerBuffer,
+  createAnswerMemory,
+  type AnswerBuffer,
+  type AnswerMemory,
+  type AnswerMemoryOptions,
+} from './buffer.js';
 export { chooseServer, type ServerSelectionOptions, type Random } from './choose.js';
 export { createEventSplitter, type EventSplitter } from './events.js';
 export {
--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -1,4 +1,5 @@
 import type { FlowControl } from '@bulrushspar/targets';
+import { createAnswerBuffer, createAnswerMemory, type AnswerMemory } from './buffer.js';
 import {
   createEventScanner,
   createEventSplitter,
@@ -48,6 +49,8 @@
   lastEventId(): string | undefined;
   /** Ends the answer after an attempt received all of it; throws if the answer is incomplete. */
   finish(): void;
+  /** Releases the buffered bytes of an answer once its request has ended. */
+  close(): void;
 }
 
 /** Options of {@link createBufferedRelay}. */
@@ -68,13 +71,15 @@
    * Creates the error for an answer that is too large to buffer.
    * @param bytes the limit
    */
-  readonly tooLarge: (bytes: number) => Error;
+  readonly tooLarge: (bytes: number, head: Head) => Error;
+  /** Bounds the bytes that several relays buffer together; created for this relay by default. */
+  readonly memory?: AnswerMemory;
 }
 
 /** Options of {@link createStreamRelay}. */
 export interface StreamRelayOptions<Head extends RelayedHead> extends Omit<
   RelayOptions<Head>,
-  'tooLarge'
+  'tooLarge' | 'memory'
 > {
   /** Id of the event after which the caller asks the stream to resume. */
   readonly lastEventId?: string;
@@ -86,7 +91,8 @@
 
 const OK = 200;
 const FIRST_REDIRECT_STATUS = 300;
-const MAX_BUFFERED_BYTES = 16_000_000;
+/** Events carry a few tokens each. */
+const MAX_EVENT_BYTES = 1_000_000;
 
 const isSuccess = (status: number): boolean => status >= OK && status < FIRST_REDIRECT_STATUS;
 
@@ -95,37 +101,35 @@
   options: RelayOptions<Head>,
 ): Relay<Head> {
   const { writer, onFirstByte = () => {}, onChunk = () => {}, checkEnd = () => {} } = options;
+  const buffer = createAnswerBuffer(options.memory ?? createAnswerMemory());
   let head: Head | undefined;
-  let chunks: Buffer[] = [];
-  let bodyBytes = 0;
   return {
     openSink: () => {
       head = undefined;
-      chunks = [];
-      bodyBytes = 0;
+      buffer.clear();
       return {
         onHead: (answerHead) => {
           options.check(answerHead);
           head = answerHead;
         },
         onData: (chunk) => {
-          if (bodyBytes === 0) onFirstByte();
-          bodyBytes += chunk.length;
-          if (bodyBytes > MAX_BUFFERED_BYTES) throw options.tooLarge(MAX_BUFFERED_BYTES);
-          chunks.push(chunk);
+          if (buffer.bytes() === 0) onFirstByte();
+          if (!buffer.append(chunk)) throw options.tooLarge(buffer.bytes(), head!);
         },
       };
     },
     hasBegun: () => false,
     lastEventId: () => undefined,
+    close: buffer.clear,
     finish: () => {
       if (!head) return;
+      const bodyBytes = buffer.bytes();
       checkEnd(head, bodyBytes);
       const length = head.framed ? ['content-length', String(bodyBytes)] : [];
       writer.writeHead(head.status, [...head.headers, ...length], head.framed);
-      chunks.forEach((chunk) => {
-        onChunk(chunk);
-        writer.write(chunk);
+      buffer.blocks().forEach((block) => {
+        onChunk(block);
+        writer.write(block);
       });
       writer.end();
     },
@@ -166,6 +170,7 @@
   const writeCompleteEvents = (chunk: Buffer): void => {
     const events = splitter!.push(chunk);
     pendingBytes = splitter!.pendingBytes();
+    if (pendingBytes > MAX_EVENT_BYTES) throw options.createIncompleteError(head!);
     if (!events) return;
     lastEventId = splitter!.lastEventId() ?? lastEventId;
     writeChunk(events);
@@ -190,6 +195,7 @@
     },
     hasBegun: writer.hasBegun,
     lastEventId: () => lastEventId,
+    close: () => {},
     finish: () => {
       if (pendingBytes > 0 || scanner?.isInsideEvent()) throw options.createIncompleteError(head!);
       checkEnd(head!, bodyBytes);
--- a/packages/serving/src/answer.ts
+++ b/packages/serving/src/answer.ts
@@ -1,5 +1,9 @@
-import { createRefusal, RAN, REFUSAL, type Refusal } from '@bulrushspar/errors';
-import { createStreamRelay, createBufferedRelay, type Relay } from '@bulrushspar/routing';
+import {
+  createBufferedRelay,
+  createStreamRelay,
+  type AnswerMemory,
+  type Relay,
+} from '@bulrushspar/routing';
 import type { AnswerHead, Reply } from './call.js';
 
 /** Reason why a server's answer must not be passed to the caller. */
@@ -10,6 +14,8 @@
   MISMATCHED: 'mismatched',
   /** The server ran the request and failed. */
   FAILED: 'failed',
+  /** The answer is too large to be held until it is complete. */
+  TOO_LARGE: 'too-large',
 } as const;
 
 /** One of {@link ANSWER_FAULT}. */
@@ -27,6 +33,8 @@
   readonly reply: Reply;
   readonly callId: string;
   readonly lastEventId?: string;
+  /** Bounds what the answers of all requests hold. */
+  readonly memory?: AnswerMemory;
   /** Called when the first byte of an answer arrives. */
   readonly onFirstByte: () => void;
   /** @returns whether the request may be retried after a server error */
@@ -66,14 +74,6 @@
     throw createAnswerError(ANSWER_FAULT.FAILED, head);
 }
 
-const createTooLargeRefusal = (bytes: number): Refusal =>
-  createRefusal({
-    status: 502,
-    code: REFUSAL.TARGET_FAILED,
-    message: `the server's answer is larger than ${bytes} bytes`,
-    ran: RAN.YES,
-  });
-
 /** How an answer is passed to the caller. */
 export const DELIVERY = {
   /** In one piece, after all of it was received. */
@@ -96,7 +96,8 @@
       writer: outlet,
       onFirstByte,
       check,
-      tooLarge: createTooLargeRefusal,
+      memory: options.memory,
+      tooLarge: (_bytes, head) => createAnswerError(ANSWER_FAULT.TOO_LARGE, head),
     });
   return createStreamRelay({
     writer: outlet,
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -10,6 +10,7 @@
   type Refusal,
 } from '@bulrushspar/errors';
 import type { DemandTracker } from '@bulrushspar/loading';
+import { createAnswerMemory, type AnswerMemoryOptions } from '@bulrushspar/routing';
 import type { Admission, AdmittedRequest } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
 import { createAttemptRunner, type AttemptRunnerOptions, type ActiveRequest } from './attempts.js';
@@ -31,6 +32,8 @@
   readonly demand: DemandTracker;
   /** @returns the refusal of all new requests while this host is stopping */
   readonly getStoppingRefusal: () => Refusal | undefined;
+  /** Bounds the bytes of answers that are held until they are complete. */
+  readonly answerMemory?: AnswerMemoryOptions;
 }
 
 /** Number of server crashes while running a request after which that request is refused. */
@@ -55,8 +58,9 @@
   options: RequestHandlerOptions<SomeCall>,
 ): RequestHandler<SomeCall> {
   const { clock, logger, metrics, admission, demand, suspects, streams } = options;
-  const { getStoppingRefusal } = options;
+  const { getStoppingRefusal, answerMemory } = options;
   const attemptRunner = createAttemptRunner(options);
+  const memory = createAnswerMemory(answerMemory);
 
   const refuse = (call: SomeCall, reply: Reply, error: unknown, milliseconds: number): void => {
     const { refusal, message } = isRefusal(error) ? error : createTargetFailedRefusal(error);
@@ -146,6 +150,7 @@
       reply,
       callId: call.id,
       lastEventId: call.lastEventId,
+      memory,
       onFirstByte: () => {
         firstByteMilliseconds = Math.round(elapsed());
         metrics.firstByte.record(firstByteMilliseconds);
@@ -186,6 +191,7 @@
       throw error;
     } finally {
       cancel();
+      relay.close();
     }
   };
 
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -45,6 +45,24 @@
       | stream    | stream up to 3.5 and end            | events 123!       | 1     |
       | stream    | fail                                | 500               | 1     |
 
+  # Guards against a host whose memory is used up by answers and events that never end.
+  Scenario Outline: A server sends bytes without end
+    Given a <kind> route
+    And servers that one after another <behave>
+    When a request is served
+    Then the caller gets <answer>
+    And <sends> servers received it
+    And the host took at most 17 MB of each answer
+
+    Examples:
+      | kind       | behave                                                     | answer           | sends |
+      | once       | send a body without end, answer                            | 502              | 1     |
+      | idempotent | send a body without end, answer                            | 200 whole        | 2     |
+      | idempotent | send a body without end, send a body without end           | 502              | 2     |
+      | once       | send a body of 15 MB                                       | 200              | 1     |
+      | resumable  | send an event without end, stream                          | events 12345 end | 2     |
+      | resumable  | send an event without end, send an event without end       | 502              | 2     |
+
   Scenario: No server answers a request before its deadline
     Given a once route
     And servers that one after another are silent
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -50,6 +50,8 @@
   softwareVersions: (string | undefined)[];
   resumes: { readonly attempt: string; readonly lastEventId: string } | undefined;
   departedServer: string | undefined;
+  /** Most megabytes that the host took of one answer. */
+  largestMegabytes: number;
 }
 
 interface RecordedReply extends Reply {
@@ -61,6 +63,9 @@
   disconnect(): void;
 }
 
+const MEGABYTE = 1_000_000;
+/** Far more than a host takes of one answer. */
+const ENDLESS_MEGABYTES = 40;
 const STEP_MILLISECONDS = 20;
 const MAX_TEST_MILLISECONDS = 20_000;
 const flow = { pause: () => {}, resume: () => {} };
@@ -149,7 +154,7 @@
   if (truncated) sink.onData(Buffer.from(formatEvent(upTo + 1).slice(0, 9)));
 }
 
-function behave(behaviour: string, sink: AnswerSink, attempt: Attempt): void {
+function behave(world: ServingWorld, behaviour: string, sink: AnswerSink, attempt: Attempt): void {
   const partial = /^stream up to ([\d.]+) and (are cut|end)$/.exec(behaviour);
   if (partial) {
     const upTo = Number(partial[1]);
@@ -157,6 +162,16 @@
     if (partial[2] === 'are cut') throw cut(EXCHANGE_PROGRESS.ANSWERED);
     return;
   }
+  const endless = /^send (?:a body|an event) (?:without end|of (\d+) MB)$/.exec(behaviour);
+  if (endless) {
+    sink.onHead(head(), flow);
+    const megabytes = Number(endless[1] ?? ENDLESS_MEGABYTES);
+    for (let count = 0; count < megabytes; count += 1) {
+      sink.onData(Buffer.alloc(MEGABYTE, 'a'));
+      Object.assign(world, { largestMegabytes: Math.max(world.largestMegabytes, count + 1) });
+    }
+    return;
+  }
   if (behaviour === 'stream') stream(sink, attempt, 5, false);
   else if (behaviour === 'are cut') throw cut(EXCHANGE_PROGRESS.SENT);
   else if (behaviour === 'are unreachable') throw cut(EXCHANGE_PROGRESS.NOT_SENT);
@@ -289,7 +304,7 @@
         if (behaviour === 'are silent') await rejectOnAbort(signal);
         const late = /^answer after (\d+) ms$/.exec(behaviour);
         if (late) await Promise.race([clock.delay(Number(late[1])), rejectOnAbort(signal)]);
-        behave(late ? 'answer' : behaviour, sink, attempt);
+        behave(changed, late ? 'answer' : behaviour, sink, attempt);
       } finally {
         changed.activeSends -= 1;
       }
@@ -339,6 +354,7 @@
     stopsAfterMilliseconds: undefined,
     sendsByServer: new Map(),
     departedServer: undefined,
+    largestMegabytes: 0,
     ...empty,
   });
 });
@@ -467,6 +483,13 @@
   assert.ok(this.elapsedMilliseconds <= milliseconds, `${this.elapsedMilliseconds} ms`);
 });
 
+Then(
+  'the host took at most {int} MB of each answer',
+  function check(this: ServingWorld, megabytes: number) {
+    assert.ok(this.largestMegabytes <= megabytes, `${this.largestMegabytes} MB`);
+  },
+);
+
 Then('no server is still running it', function check(this: ServingWorld) {
   assert.equal(this.activeSends, 0);
 });
