End connections whose bytes are no answer

Blank lines, interim responses (102, 103) and chunk extensions without end were read as fast as a server sent them until the deadline of the request; nothing bounds them in undici, which bounds headers and trailers only. An interim response also counted as the beginning of an answer, so that a request that may be repeated was not sent to another server in time.

The connection now ends once more than 256 KB, and more than eight bytes for each byte of the body, were parsed that are no part of a body; what the socket has buffered does not count. Interim responses are skipped.

--- a/packages/targets/src/client.ts
+++ b/packages/targets/src/client.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
 
 /** Options of {@link createTargetClient}. */
@@ -9,12 +10,22 @@
   readonly keepAliveMilliseconds?: number;
 }
 
-/** Answer that a client receives. */
+/** Connection of a client and the answer that it receives. */
 interface ClientState {
+  socket?: Socket;
+  /** Bytes that the socket had received before the exchange. */
+  earlierBytes: number;
+  /** Bytes of the body that were passed on. */
+  bodyBytes: number;
   /** Ends a pause of the answer. */
   resume: () => void;
 }
 
+/** Most bytes of an answer besides its body and the framing of its chunks. */
+const MAX_OVERHEAD_BYTES = 256 * 1024;
+/** Chunks of one byte have five bytes around each byte of the body. */
+const MAX_OVERHEAD_PER_BODY_BYTE = 8;
+
 /**
  * Records how to resume an answer, and drops the empty chunk with which a resumed answer begins, so
  * that its receiver does not pause again. A pool passes handlers of undici's older interface.
@@ -24,19 +35,35 @@
   state: ClientState,
 ): Dispatcher.DispatchHandler {
   const watched = state;
+  const begin = (): void => {
+    watched.earlierBytes = state.socket?.bytesRead ?? 0;
+    watched.bodyBytes = 0;
+  };
   const watchers: Partial<Dispatcher.DispatchHandler> = {
+    onRequestStart: (...event) => {
+      begin();
+      handler.onRequestStart!(...event);
+    },
+    onConnect: (...event) => {
+      begin();
+      handler.onConnect!(...event);
+    },
     onResponseStart: (controller, ...event) => {
       watched.resume = () => controller.resume();
       handler.onResponseStart!(controller, ...event);
     },
     onResponseData: (controller, chunk) => {
+      watched.bodyBytes += chunk.length;
       if (chunk.length > 0) handler.onResponseData!(controller, chunk);
     },
     onHeaders: (status, headers, resume, text) => {
       watched.resume = resume;
       return handler.onHeaders!(status, headers, resume, text);
     },
-    onData: (chunk) => chunk.length === 0 || handler.onData!(chunk),
+    onData: (chunk) => {
+      watched.bodyBytes += chunk.length;
+      return chunk.length === 0 || handler.onData!(chunk);
+    },
   };
   return new Proxy(handler, {
     get: (target, name: keyof Dispatcher.DispatchHandler) => {
@@ -47,6 +74,15 @@
   });
 }
 
+/** Ends a connection whose bytes are no answer, such as blank lines or chunk extensions without end. */
+function endIfNoAnswer(socket: Socket, { earlierBytes, bodyBytes }: ClientState): void {
+  const parsedBytes = socket.bytesRead - socket.readableLength - earlierBytes;
+  const overheadBytes = parsedBytes - bodyBytes;
+  if (overheadBytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * bodyBytes) {
+    socket.destroy(new Error(`received ${overheadBytes} bytes that are no part of an answer`));
+  }
+}
+
 /**
  * Creates an HTTP client with one connection to a target. Compensates for two properties of undici's
  * client, which concern answers that end with their connection: it reports them as complete after a
@@ -54,7 +90,7 @@
  */
 export function createTargetClient(options: TargetClientOptions): Client {
   const { origin, connectTimeoutMilliseconds, keepAliveMilliseconds } = options;
-  const state: ClientState = { resume: () => {} };
+  const state: ClientState = { earlierBytes: 0, bodyBytes: 0, resume: () => {} };
   const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
   const client = new Client(origin, {
     pipelining: 1,
@@ -62,6 +98,8 @@
     connect: (connectOptions, callback) =>
       connect(connectOptions, (...result) => {
         const [, socket] = result;
+        state.socket = socket ?? undefined;
+        socket?.on('readable', () => endIfNoAnswer(socket, state));
         socket?.on('end', () => state.resume());
         socket?.on('error', (error: NodeJS.ErrnoException) => {
           if (error.code === 'ECONNRESET') Object.assign(error, { code: 'UND_ERR_SOCKET' });
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -75,6 +75,8 @@
 }
 
 const SILENCE_CHECKS_PER_TIMEOUT = 4;
+/** Lower statuses announce an answer that follows. */
+const FIRST_FINAL_STATUS = 200;
 
 /** Returns whether an error is an {@link ExchangeError}. */
 export function isExchangeError(error: unknown): error is ExchangeError {
@@ -160,6 +162,7 @@
           else progress = EXCHANGE_PROGRESS.SENT;
         },
         onResponseStart: (controller, status, headers) => {
+          if (status < FIRST_FINAL_STATUS) return;
           progress = EXCHANGE_PROGRESS.ANSWERED;
           isActive = true;
           const flow: FlowControl = {
--- a/packages/targets/test/bytes.ts
+++ b/packages/targets/test/bytes.ts
@@ -19,13 +19,18 @@
   pauses: boolean;
   outcome: string;
   bodyBytes: number;
+  elapsedMilliseconds: number;
+  sentBytes: number;
 }
 
 const LOOPBACK = '127.0.0.1';
 const BODY_BYTES = 1000;
 const END_AFTER_MILLISECONDS = 50;
 const RESUME_AFTER_MILLISECONDS = 150;
-const SILENCE_MILLISECONDS = 1000;
+const SILENCE_MILLISECONDS = 20_000;
+const DEADLINE_MILLISECONDS = 3000;
+const CLOSE_MILLISECONDS = 100;
+const ENDLESS_CHUNK_BYTES = 65_536;
 
 After('@bytes', async function close(this: BytesWorld) {
   await this.rawConnections.close();
@@ -59,6 +64,48 @@
   },
 );
 
+const unescape = (text: string): string => text.replaceAll('\\r', '\r').replaceAll('\\n', '\n');
+
+Given(
+  'a server that sends {string} and then {string} without end',
+  async function open(this: BytesWorld, first: string, endless: string) {
+    const repeated = unescape(endless);
+    const chunk = repeated.repeat(Math.ceil(ENDLESS_CHUNK_BYTES / repeated.length));
+    this.sentBytes = 0;
+    this.answer = (socket) => {
+      const sendMore = (): void => {
+        let hasRoom = !socket.destroyed;
+        while (hasRoom) {
+          this.sentBytes += chunk.length;
+          hasRoom = socket.write(chunk);
+        }
+      };
+      socket.on('drain', sendMore);
+      socket.write(unescape(first));
+      sendMore();
+    };
+    await startServer(this);
+  },
+);
+
+Then(
+  'the exchange ends as {string} within {int} ms',
+  function check(this: BytesWorld, outcome: string, milliseconds: number) {
+    assert.equal(this.outcome, outcome);
+    assert.ok(this.elapsedMilliseconds <= milliseconds, `${this.elapsedMilliseconds} ms`);
+  },
+);
+
+Then(
+  'the server could send at most {int} MB',
+  async function check(this: BytesWorld, megabytes: number) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, CLOSE_MILLISECONDS);
+    });
+    assert.ok(this.sentBytes <= megabytes * 1_000_000, `${this.sentBytes} bytes`);
+  },
+);
+
 Given(
   /^it (closes|resets) while the receiver is (paused|reading)$/,
   function end(this: BytesWorld, ends: string, receiver: string) {
@@ -87,7 +134,7 @@
           setTimeout(flow!.resume, RESUME_AFTER_MILLISECONDS);
         },
       },
-      signal: new AbortController().signal,
+      signal: AbortSignal.timeout(DEADLINE_MILLISECONDS),
       silenceMilliseconds: SILENCE_MILLISECONDS,
     });
     return 'whole';
@@ -102,7 +149,9 @@
   /^its answer is received over the (connection pool|dedicated client)$/,
   async function request(this: BytesWorld, adapter: string) {
     this.bodyBytes = 0;
+    const start = performance.now();
     this.outcome = await receive(this, adapter);
+    this.elapsedMilliseconds = performance.now() - start;
   },
 );
 
