--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -1,5 +1,11 @@
 import type { FlowControl } from '@bulrushspar/targets';
-import { createEventSplitter, type EventSplitter } from './events.js';
+import { createAnswerBuffer, createAnswerMemory, type AnswerMemory } from './buffer.js';
+import {
+  createEventScanner,
+  createEventSplitter,
+  type EventScanner,
+  type EventSplitter,
+} from './events.js';
 
 /** Writes an answer to its caller. */
 export interface AnswerWriter {
@@ -43,6 +49,8 @@
   lastEventId(): string | undefined;
   /** Ends the answer after an attempt received all of it; throws if the answer is incomplete. */
   finish(): void;
+  /** Releases the buffered bytes of an answer once its request has ended. */
+  close(): void;
 }
 
 /** Options of {@link createBufferedRelay}. */
@@ -63,13 +71,15 @@
    * Creates the error for an answer that is too large to buffer.
    * @param bytes the limit
    */
-  readonly tooLarge: (bytes: number) => Error;
+  readonly tooLarge: (bytes: number, head: Head) => Error;
+  /** Bounds the bytes that several relays buffer together; created for this relay by default. */
+  readonly memory?: AnswerMemory;
 }
 
 /** Options of {@link createStreamRelay}. */
 export interface StreamRelayOptions<Head extends RelayedHead> extends Omit<
   RelayOptions<Head>,
-  'tooLarge'
+  'tooLarge' | 'memory'
 > {
   /** Id of the event after which the caller asks the stream to resume. */
   readonly lastEventId?: string;
@@ -81,7 +91,8 @@
 
 const OK = 200;
 const FIRST_REDIRECT_STATUS = 300;
-const MAX_BUFFERED_BYTES = 16_000_000;
+/** Events carry a few tokens each. */
+const MAX_EVENT_BYTES = 1_000_000;
 
 const isSuccess = (status: number): boolean => status >= OK && status < FIRST_REDIRECT_STATUS;
 
@@ -90,37 +101,35 @@
   options: RelayOptions<Head>,
 ): Relay<Head> {
   const { writer, onFirstByte = () => {}, onChunk = () => {}, checkEnd = () => {} } = options;
+  const buffer = createAnswerBuffer(options.memory ?? createAnswerMemory());
   let head: Head | undefined;
-  let chunks: Buffer[] = [];
-  let bodyBytes = 0;
   return {
     openSink: () => {
       head = undefined;
-      chunks = [];
-      bodyBytes = 0;
+      buffer.clear();
       return {
         onHead: (answerHead) => {
           options.check(answerHead);
           head = answerHead;
         },
         onData: (chunk) => {
-          if (bodyBytes === 0) onFirstByte();
-          bodyBytes += chunk.length;
-          if (bodyBytes > MAX_BUFFERED_BYTES) throw options.tooLarge(MAX_BUFFERED_BYTES);
-          chunks.push(chunk);
+          if (buffer.bytes() === 0) onFirstByte();
+          if (!buffer.append(chunk)) throw options.tooLarge(buffer.bytes(), head!);
         },
       };
     },
     hasBegun: () => false,
     lastEventId: () => undefined,
+    close: buffer.clear,
     finish: () => {
       if (!head) return;
+      const bodyBytes = buffer.bytes();
       checkEnd(head, bodyBytes);
       const length = head.framed ? ['content-length', String(bodyBytes)] : [];
       writer.writeHead(head.status, [...head.headers, ...length], head.framed);
-      chunks.forEach((chunk) => {
-        onChunk(chunk);
-        writer.write(chunk);
+      buffer.blocks().forEach((block) => {
+        onChunk(block);
+        writer.write(block);
       });
       writer.end();
     },
@@ -139,6 +148,7 @@
   let lastEventId = options.lastEventId;
   let flow: FlowControl | undefined;
   let splitter: EventSplitter | undefined;
+  let scanner: EventScanner | undefined;
   let head: Head | undefined;
   let pendingBytes = 0;
   let bodyBytes = 0;
@@ -160,6 +170,7 @@
   const writeCompleteEvents = (chunk: Buffer): void => {
     const events = splitter!.push(chunk);
     pendingBytes = splitter!.pendingBytes();
+    if (pendingBytes > MAX_EVENT_BYTES) throw options.createIncompleteError(head!);
     if (!events) return;
     lastEventId = splitter!.lastEventId() ?? lastEventId;
     writeChunk(events);
@@ -168,6 +179,7 @@
   return {
     openSink: () => {
       splitter = resumable ? createEventSplitter() : undefined;
+      scanner = createEventScanner();
       pendingBytes = 0;
       return {
         onHead: (answerHead, control) => {
@@ -183,8 +195,9 @@
     },
     hasBegun: writer.hasBegun,
     lastEventId: () => lastEventId,
+    close: () => {},
     finish: () => {
-      if (pendingBytes > 0) throw options.createIncompleteError(head!);
+      if (pendingBytes > 0 || scanner?.isInsideEvent()) throw options.createIncompleteError(head!);
       checkEnd(head!, bodyBytes);
       writeHead();
       writer.end();
@@ -193,7 +206,12 @@
 
   /** Forwards a chunk; the body of an error answer is not split into events. */
   function handleChunk(chunk: Buffer): void {
-    if (splitter && head && isSuccess(head.status)) writeCompleteEvents(chunk);
-    else writeChunk(chunk);
+    const hasEvents = head !== undefined && isSuccess(head.status);
+    if (splitter && hasEvents) {
+      writeCompleteEvents(chunk);
+      return;
+    }
+    if (hasEvents) scanner!.scan(chunk);
+    writeChunk(chunk);
   }
 }
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -10,6 +10,7 @@
   type Refusal,
 } from '@bulrushspar/errors';
 import type { DemandTracker } from '@bulrushspar/loading';
+import { createAnswerMemory, type AnswerMemoryOptions } from '@bulrushspar/routing';
 import type { Admission, AdmittedRequest } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
 import { createAttemptRunner, type AttemptRunnerOptions, type ActiveRequest } from './attempts.js';
@@ -29,6 +30,8 @@
   extends Omit<AttemptRunnerOptions<SomeCall>, 'crashGuard'>, CrashGuardOptions {
   readonly admission: Admission;
   readonly demand: DemandTracker;
+  /** Bounds the bytes of answers that are held until they are complete. */
+  readonly answerMemory?: AnswerMemoryOptions;
 }
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -51,9 +54,10 @@
   options: RequestHandlerOptions<SomeCall>,
 ): RequestHandler<SomeCall> {
   const { clock, logger, metrics, admission, demand, streams } = options;
-  const { getStoppingRefusal } = options;
+  const { getStoppingRefusal, answerMemory } = options;
   const crashGuard = createCrashGuard(options);
   const attemptRunner = createAttemptRunner({ ...options, crashGuard });
+  const memory = createAnswerMemory(answerMemory);
 
   const refuse = (call: SomeCall, reply: Reply, error: unknown, milliseconds: number): void => {
     const { refusal, message } = isRefusal(error) ? error : createTargetFailedRefusal(error);
@@ -127,6 +131,7 @@
       reply,
       callId: call.id,
       lastEventId: call.lastEventId,
+      memory,
       onFirstByte: () => {
         firstByteMilliseconds = Math.round(elapsed());
         metrics.firstByte.record(firstByteMilliseconds);
@@ -168,6 +173,7 @@
       throw error;
     } finally {
       cancel();
+      relay.close();
     }
   };
 
--- /dev/null
+++ b/packages/targets/src/client.ts
@@ -0,0 +1,118 @@
+import type { Socket } from 'node:net';
+import { buildConnector, Client, type Dispatcher } from 'undici';
+
+/** Options of {@link createTargetClient}. */
+export interface TargetClientOptions {
+  /** Such as http://127.0.0.1:8000. */
+  readonly origin: string;
+  readonly connectTimeoutMilliseconds: number;
+  /** Time after which an idle connection is closed; the default of the HTTP client if omitted. */
+  readonly keepAliveMilliseconds?: number;
+}
+
+/** Connection of a client and the answer that it receives. */
+interface ClientState {
+  socket?: Socket;
+  /** Bytes that the socket had received before the exchange. */
+  earlierBytes: number;
+  /** Bytes of the body that were passed on. */
+  bodyBytes: number;
+  /** Ends a pause of the answer. */
+  resume: () => void;
+}
+
+/** Most bytes of an answer besides its body and the framing of its chunks. */
+const MAX_OVERHEAD_BYTES = 256 * 1024;
+/** Chunks of one byte have five bytes around each byte of the body. */
+const MAX_OVERHEAD_PER_BODY_BYTE = 8;
+
+/**
+ * Records how to resume an answer, and drops the empty chunk with which a resumed answer begins, so
+ * that its receiver does not pause again. A pool passes handlers of undici's older interface.
+ */
+function watchAnswer(
+  handler: Dispatcher.DispatchHandler,
+  state: ClientState,
+): Dispatcher.DispatchHandler {
+  const watched = state;
+  const begin = (): void => {
+    watched.earlierBytes = state.socket?.bytesRead ?? 0;
+    watched.bodyBytes = 0;
+  };
+  const watchers: Partial<Dispatcher.DispatchHandler> = {
+    onRequestStart: (...event) => {
+      begin();
+      handler.onRequestStart!(...event);
+    },
+    onConnect: (...event) => {
+      begin();
+      handler.onConnect!(...event);
+    },
+    onResponseStart: (controller, ...event) => {
+      watched.resume = () => controller.resume();
+      handler.onResponseStart!(controller, ...event);
+    },
+    onResponseData: (controller, chunk) => {
+      watched.bodyBytes += chunk.length;
+      if (chunk.length > 0) handler.onResponseData!(controller, chunk);
+    },
+    onHeaders: (status, headers, resume, text) => {
+      watched.resume = resume;
+      return handler.onHeaders!(status, headers, resume, text);
+    },
+    onData: (chunk) => {
+      watched.bodyBytes += chunk.length;
+      return chunk.length === 0 || handler.onData!(chunk);
+    },
+  };
+  return new Proxy(handler, {
+    get: (target, name: keyof Dispatcher.DispatchHandler) => {
+      const method = target[name];
+      if (typeof method !== 'function') return method;
+      return watchers[name] ?? method.bind(target);
+    },
+  });
+}
+
+/** Ends a connection whose bytes are no answer, such as blank lines or chunk extensions without end. */
+function endIfNoAnswer(socket: Socket, { earlierBytes, bodyBytes }: ClientState): void {
+  const parsedBytes = socket.bytesRead - socket.readableLength - earlierBytes;
+  const overheadBytes = parsedBytes - bodyBytes;
+  if (overheadBytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * bodyBytes) {
+    socket.destroy(new Error(`received ${overheadBytes} bytes that are no part of an answer`));
+  }
+}
+
+/**
+ * Creates an HTTP client with one connection to a target. Compensates for two properties of undici's
+ * client, which concern answers that end with their connection: it reports them as complete after a
+ * reset, and it throws outside of the exchange if the connection ends while the answer is paused.
+ */
+export function createTargetClient(options: TargetClientOptions): Client {
+  const { origin, connectTimeoutMilliseconds, keepAliveMilliseconds } = options;
+  const state: ClientState = { earlierBytes: 0, bodyBytes: 0, resume: () => {} };
+  const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+  const client = new Client(origin, {
+    pipelining: 1,
+    // The listeners run before those of undici's client.
+    connect: (connectOptions, callback) =>
+      connect(connectOptions, (...result) => {
+        const [, socket] = result;
+        state.socket = socket ?? undefined;
+        socket?.on('readable', () => endIfNoAnswer(socket, state));
+        socket?.on('end', () => state.resume());
+        socket?.on('error', (error: NodeJS.ErrnoException) => {
+          if (error.code === 'ECONNRESET') Object.assign(error, { code: 'UND_ERR_SOCKET' });
+        });
+        callback(...result);
+      }),
+    ...(keepAliveMilliseconds === undefined ? {} : { keepAliveTimeout: keepAliveMilliseconds }),
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const dispatch = client.dispatch.bind(client);
+  return Object.assign(client, {
+    dispatch: (dispatchOptions: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler) =>
+      dispatch(dispatchOptions, watchAnswer(handler, state)),
+  });
+}
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -1,5 +1,6 @@
-import { Client, Pool, type Dispatcher } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
 import { wrapError } from '@bulrushspar/errors';
+import { createTargetClient } from './client.js';
 
 /** HTTP request to a target. */
 export interface TargetCall {
@@ -74,6 +75,8 @@
 }
 
 const SILENCE_CHECKS_PER_TIMEOUT = 4;
+/** Lower statuses announce an answer that follows. */
+const FIRST_FINAL_STATUS = 200;
 
 /** Returns whether an error is an {@link ExchangeError}. */
 export function isExchangeError(error: unknown): error is ExchangeError {
@@ -159,6 +162,7 @@
           else progress = EXCHANGE_PROGRESS.SENT;
         },
         onResponseStart: (controller, status, headers) => {
+          if (status < FIRST_FINAL_STATUS) return;
           progress = EXCHANGE_PROGRESS.ANSWERED;
           isActive = true;
           const flow: FlowControl = {
@@ -217,15 +221,15 @@
 
 /** Creates the connections to a target; none opens before the first call. */
 export function createConnections(origin: string): Connections {
-  const connect = { timeout: CONNECT_TIMEOUT_MILLISECONDS };
+  const createClient = () =>
+    createTargetClient({ origin, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS });
   const sharedPool = new Pool(origin, {
-    pipelining: 1,
     connections: MAX_CONNECTIONS_PER_TARGET,
-    connect,
+    factory: createClient,
   });
   return {
     pool: sharedPool,
-    createSingleUseClient: () => new Client(origin, { pipelining: 1, connect }),
+    createSingleUseClient: createClient,
     close: () => sharedPool.close(),
   };
 }
