Serve stores that count their eras from any number; fail on unusable eras

With a Store-Era above 4,096 a host did not learn the era but put it into its versions: each conditional write at a version it had just been given failed ("the store was restored around the write"), no lease was ever acquired, and versions passed the safe integers. A header that is no whole number was treated like an answer without one.

Versions now contain the era's place in a cycle of 8,191, computed by all hosts alike without a record; eras 0 to 8,191 are their own place, so that versions and fencing numbers of running fleets and of older builds stay as they are. A number of any length can be split. A host restarted in a later cycle that has never read a record of a lease does not acquire it: the numbers given out before are not known, and would fall.

Changes to existing tests: the restart of a lease's process in place now ends every former process of its host and gives each a new incarnation (two restarts used to leave two processes with one identity); the fencing numbers must be safe integers, and one process must hold the lease before the first generated fault.

Known limit: when a store passes the end of a cycle, its answers count as failed until all hosts are restarted, and the lease for orders stays free while the number in its record is of the former cycle.

--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -134,6 +134,7 @@
     handoverMilliseconds,
     currentEra: eras.current,
     mayHaveLostRecords: () => eras.current() > 0 && (eras.hasChanged() || !isFirstStart),
+    mayHaveLostNumbers: () => eras.mayHaveBegunAnew() && !isFirstStart,
     isContender: () => !mustDefer(),
     isAbandoned: (fencing) => {
       const found = newestReceived();
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -4,7 +4,6 @@
 import type { Link } from '@bulrushspar/peer';
 import {
   createEraTracker,
-  eraOf,
   listAndWatch,
   type EraTracker,
   type ObjectChange,
@@ -275,7 +274,7 @@
     isWatching,
     describe,
     receiveChanges: (link, message) => {
-      eras.learn(eraOf(message.changedAt));
+      eras.learnFromVersion(message.changedAt);
       receivedVersion = Math.max(receivedVersion, message.changedAt);
       if (message.changedAt <= changedAt) return;
       if (message.since > changedAt) pull(link).catch(() => {});
@@ -283,7 +282,7 @@
     },
     receiveSummary: (link, summary) => {
       const { changedAt: version, rank: otherRank = 0 } = summary;
-      eras.learn(eraOf(version));
+      eras.learnFromVersion(version);
       // Hosts that list the same objects at different times differ in the version of their lists.
       if (version > changedAt && changedAt > 0 && summary.digest === describe().digest)
         changedAt = version;
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -78,6 +78,8 @@
   readonly currentEra?: () => number;
   /** Whether the store may have lost the record of a lease that a process still holds. */
   readonly mayHaveLostRecords?: () => boolean;
+  /** Whether greater fencing numbers than those of the current era may have been given out. */
+  readonly mayHaveLostNumbers?: () => boolean;
   /** Minimum milliseconds between the last action of one host and the first of the next. */
   readonly handoverMilliseconds?: number;
   /**
@@ -122,12 +124,14 @@
   const { store, clock, name, self, isContender = () => true, onChange = () => {} } = options;
   const { termMilliseconds = 8000, isAbandoned = () => false } = options;
   const { currentEra = () => 0, mayHaveLostRecords = () => false } = options;
+  const { mayHaveLostNumbers = () => false } = options;
   const { handoverMilliseconds = 0, millisecondsSinceFormerAction = () => undefined } = options;
   const key = { kind: LEASE_KIND, name };
   const renewalIntervalMilliseconds = termMilliseconds / RENEWALS_PER_TERM;
   let lastRenewal:
     { readonly since: Stopwatch; readonly fencing: number; readonly version: Version } | undefined;
   let observed: ObservedVersion | undefined;
+  let hasReadRecord = false;
   let reportedHeld = false;
   let formerHost: string | undefined;
   let formerFencing = 0;
@@ -226,6 +230,9 @@
       return;
     }
     const found: StoredObject<LeaseRecord> | undefined = await store.read<LeaseRecord>(key);
+    hasReadRecord ||= found !== undefined;
+    // Without a record, nothing shows how far the fencing numbers have got.
+    if (!hasReadRecord && mayHaveLostNumbers()) return;
     const { version = ABSENT, value = UNHELD } = found ?? {};
     const { holder, fencing } = value;
     // A later record may have been lost, with a holder whose term has not ended.
--- a/packages/lease/test/lease.feature
+++ b/packages/lease/test/lease.feature
@@ -50,3 +50,11 @@
 
   Scenario: Random interleavings with restorations of the store
     Then 200 generated interleavings with restorations of the store never have two holders
+
+  # Guards against fencing numbers beyond a safe integer, and leases that nobody gets.
+  Scenario: Random interleavings with restorations of a store that does not count its eras from 1
+    Then 200 generated interleavings with restorations of the store from era 1764000000000 never have two holders
+
+  # Guards against fencing numbers that fall when the eras exceed the range that versions distinguish.
+  Scenario: Random interleavings with restarts while the eras pass the end of their range
+    Then 200 generated interleavings with restorations of the store and restarts from era 8189 never have two holders
--- a/packages/lease/test/lease.ts
+++ b/packages/lease/test/lease.ts
@@ -30,6 +30,7 @@
   /** Copies of the store, one each second. */
   copies: { readonly at: number; readonly copy: StoreCopy }[];
   contenders: Contender[];
+  firstEra: number;
   isStoreUnreachable: boolean;
   /** Holders with their fencing numbers, in the order of observation. */
   observedHolders: { name: string; fencing: number }[];
@@ -67,7 +68,7 @@
   const eras = createEraTracker();
   const dated = async <Answer>(work: Promise<Answer>): Promise<DatedAnswer<Answer>> => {
     // The store names its era at the time of the call.
-    const era = FIRST_ERA + world.store.era();
+    const era = world.firstEra + world.store.era();
     return { era, answer: await whileRunning(work) };
   };
   const eraStore = createEraStore(
@@ -94,6 +95,7 @@
     self: { host: name, incarnation },
     currentEra: eras.current,
     mayHaveLostRecords: () => eras.hasChanged() || !incarnation.endsWith(FIRST_INCARNATION),
+    mayHaveLostNumbers: () => eras.mayHaveBegunAnew() && !incarnation.endsWith(FIRST_INCARNATION),
   });
   const contender: Contender = {
     name,
@@ -137,11 +139,12 @@
   }
 }
 
-async function startContenders(world: LeaseWorld): Promise<void> {
+async function startContenders(world: LeaseWorld, firstEra = FIRST_ERA): Promise<void> {
   Object.assign(world, {
     clock: createManualClock(),
     store: createMemoryStore(),
     contenders: [],
+    firstEra,
     copies: [],
     isStoreUnreachable: false,
     observedHolders: [],
@@ -195,8 +198,10 @@
     return () => {};
   },
   'is restarted in place': (world, contender) => {
-    Object.assign(contender, { isAlive: false });
-    world.contenders.push(createContender(world, contender.name, `${contender.name}-2`));
+    const { name } = contender;
+    const former = world.contenders.filter((other) => other.name === name);
+    former.forEach((process) => Object.assign(process, { isAlive: false }));
+    world.contenders.push(createContender(world, name, `${name}-${former.length + 1}`));
     return () => {};
   },
 };
@@ -256,6 +261,7 @@
   observedHolders.forEach(({ name, fencing }, index) => {
     const previous = observedHolders[index - 1];
     if (!previous) return;
+    assert.ok(Number.isSafeInteger(fencing), `${fencing} is not a safe integer`);
     const sameTerm = previous.name === name && previous.fencing === fencing;
     assert.ok(sameTerm || fencing > previous.fencing, `${previous.fencing} then ${fencing}`);
   });
@@ -288,6 +294,13 @@
   pause: fc.integer({ min: 0, max: 15_000 }),
 });
 
+const generatedRestart = fc.record({
+  contender: fc.integer({ min: 0, max: 2 }),
+  fault: fc.constant('is restarted in place'),
+  lasts: fc.constant(0),
+  pause: fc.integer({ min: 0, max: 40_000 }),
+});
+
 type GeneratedStep =
   | (typeof generatedStep extends fc.Arbitrary<infer Step> ? Step : never)
   | (typeof generatedRestoration extends fc.Arbitrary<infer Step> ? Step : never);
@@ -307,15 +320,26 @@
 }
 
 Then(
-  /^(\d+) generated interleavings( with restorations of the store)? never have two holders$/,
+  /^(\d+) generated interleavings( with restorations of the store)?( and restarts)?(?: from era (\d+))? never have two holders$/,
   { timeout: 120_000 },
-  async (runs: string, withRestorations: string | null) => {
+  async (
+    runs: string,
+    withRestorations: string | null,
+    withRestarts: string | null,
+    firstEra: string | null,
+  ) => {
     const numRuns = Number(runs);
-    const step = withRestorations ? fc.oneof(generatedStep, generatedRestoration) : generatedStep;
+    const withoutRestarts = withRestorations
+      ? fc.oneof(generatedStep, generatedRestoration)
+      : generatedStep;
+    const step = withRestarts
+      ? fc.oneof(generatedStep, generatedRestoration, generatedRestart)
+      : withoutRestarts;
     const steps = fc.array<GeneratedStep>(step, { minLength: 1, maxLength: 6 });
     const property = fc.asyncProperty(steps, async (plan) => {
       const world = {} as LeaseWorld;
-      await startContenders(world);
+      await startContenders(world, Number(firstEra ?? FIRST_ERA));
+      assert.equal(activeHolders(world).length, 1);
       for (const planned of plan) {
         // eslint-disable-next-line no-await-in-loop -- faults are sequential
         await performStep(world, planned);
--- a/packages/store/src/era.ts
+++ b/packages/store/src/era.ts
@@ -19,11 +19,23 @@
 
 /** Number of revisions that an era can hold; an era and a revision fit into one safe integer. */
 const REVISIONS_PER_ERA = 2 ** 40;
-const MAX_ERA = 2 ** 12;
+/** Number of eras that versions distinguish, beside era 0. */
+const MAX_ERA = 2 ** 13 - 1;
 
-/** Combines an era and a revision into a version; later eras have greater versions. */
-export const composeVersion = (era: number, revision: number): Version =>
-  era * REVISIONS_PER_ERA + revision;
+const isUpTo = (value: number, max: number): boolean =>
+  Number.isInteger(value) && value >= 0 && value <= max;
+
+/**
+ * Combines an era and a revision into a version; later eras have greater versions.
+ * @throws StoreError if they do not fit into a safe integer
+ */
+export function composeVersion(era: number, revision: number): Version {
+  if (!isUpTo(era, MAX_ERA) || !isUpTo(revision, REVISIONS_PER_ERA - 1)) {
+    const message = `era ${era} and revision ${revision} do not fit into a version`;
+    throw createStoreError(EFFECT.UNKNOWN, message);
+  }
+  return era * REVISIONS_PER_ERA + revision;
+}
 
 /** @returns the era of a version, or of a fencing number that was derived from one */
 export const eraOf = (version: Version): number => Math.floor(version / REVISIONS_PER_ERA);
@@ -31,14 +43,40 @@
 /** @returns the store's own revision of a version */
 export const revisionOf = (version: Version): number => version % REVISIONS_PER_ERA;
 
+/** Era as a store names it: a whole number of any size. */
+export type NamedEra = number | bigint;
+
+/**
+ * Cycle of a named era, and its number within the cycle, which versions contain. The first cycle
+ * keeps the numbers as they are, and only the very first era of a store is 0.
+ */
+function splitEra(named: NamedEra): { readonly cycle: bigint; readonly era: number } {
+  if (typeof named === 'number' && !Number.isSafeInteger(named))
+    throw createStoreError(EFFECT.UNKNOWN, `the store names ${named} as its era`);
+  const count = BigInt(named);
+  if (count < 0n) throw createStoreError(EFFECT.UNKNOWN, `the store names ${named} as its era`);
+  if (count === 0n) return { cycle: 0n, era: 0 };
+  const length = BigInt(MAX_ERA);
+  return { cycle: (count - 1n) / length, era: Number((count - 1n) % length) + 1 };
+}
+
 /** What this host knows about the store's era. */
 export interface EraTracker {
   /** The newest known era; 0 until the store has named one. */
   current(): number;
   /** Whether an era has been replaced by a later one since this process started. */
   hasChanged(): boolean;
-  /** Applies the era of an answer or of another host's message; earlier ones are ignored. */
-  learn(era: number | undefined): void;
+  /**
+   * Applies the era of an answer; earlier ones are ignored.
+   * @param named undefined if the answer names none
+   * @returns the era of the answer as versions contain it; the current one if it names none
+   * @throws StoreError if versions of this era cannot be compared with those before
+   */
+  learn(named: NamedEra | undefined): number;
+  /** Whether versions may have begun again from low eras before this process started. */
+  mayHaveBegunAnew(): boolean;
+  /** Applies the era of a version that another host has told; earlier ones are ignored. */
+  learnFromVersion(version: Version): void;
   /**
    * Calls the listener after each change to a later era.
    * @returns a function that removes the listener
@@ -50,18 +88,34 @@
 export function createEraTracker(): EraTracker {
   const listeners = new Set<(era: number) => void>();
   let known: number | undefined;
+  let cycle: bigint | undefined;
   let changed = false;
+
+  const apply = (era: number): void => {
+    if (known !== undefined && era <= known) return;
+    const isChange = known !== undefined;
+    known = era;
+    if (!isChange) return;
+    changed = true;
+    [...listeners].forEach((listener) => listener(era));
+  };
+
   return {
     current: () => known ?? 0,
     hasChanged: () => changed,
-    learn: (era) => {
-      if (era === undefined || !Number.isInteger(era) || era < 0 || era > MAX_ERA) return;
-      if (known !== undefined && era <= known) return;
-      const isChange = known !== undefined;
-      known = era;
-      if (!isChange) return;
-      changed = true;
-      [...listeners].forEach((listener) => listener(era));
+    learn: (named) => {
+      if (named === undefined) return known ?? 0;
+      const found = splitEra(named);
+      cycle ??= found.cycle;
+      if (found.cycle !== cycle)
+        throw createStoreError(EFFECT.UNKNOWN, `versions of era ${named} would not be in order`);
+      apply(found.era);
+      return found.era;
+    },
+    mayHaveBegunAnew: () => cycle !== undefined && cycle > 0n,
+    learnFromVersion: (version) => {
+      const era = eraOf(version);
+      if (isUpTo(era, MAX_ERA)) apply(era);
     },
     onChange: (listener) => {
       listeners.add(listener);
@@ -72,7 +126,7 @@
 
 /** Answer of a store, with the era that the store named in it; undefined if it named none. */
 export interface DatedAnswer<Answer> {
-  readonly era: number | undefined;
+  readonly era: NamedEra | undefined;
   readonly answer: Answer;
 }
 
@@ -96,11 +150,7 @@
  * revision may have been given out again.
  */
 export function createEraStore(store: RevisionStore, eras: EraTracker): ObjectStore {
-  /** Learns the era of an answer. @returns that era, or the current one if the store named none */
-  const learn = ({ era }: DatedAnswer<unknown>): number => {
-    eras.learn(era);
-    return era ?? eras.current();
-  };
+  const learn = ({ era }: DatedAnswer<unknown>): number => eras.learn(era);
 
   /** Throws if an answer was given before the store was restored. */
   const requireCurrent = (era: number): void => {
--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -41,7 +41,7 @@
 export interface JsonClientOptions {
   /** Statuses from 500 up with which the service states that the call had no effect. */
   readonly noEffectStatuses?: readonly number[];
-  /** Called with the headers of each answer, whatever its status. */
+  /** Called with the headers of each answer, whatever its status; the call fails if it throws. */
   readonly onHeaders?: (headers: AnswerHeaders) => void;
 }
 
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -10,6 +10,7 @@
   revisionOf,
   type DatedAnswer,
   type EraTracker,
+  type NamedEra,
   type RevisionStore,
 } from './era.js';
 export {
