Clear the same crashes of a prompt part on all hosts

Requests with a sound part were refused with crashes_servers for two minutes by some hosts, while the others served them: three servers that stop at once under a shared part, as on one machine, are enough. A host clears the part when an answer comes whole that began after the crashes, and tells the others only the age of that begin. Age is measured from the arrival of each message, so a host that learned of the crashes later than of the begin kept them, and the sender, whose record was clear, told it no more.

The update now also names the server processes of which the sender cleared the parts.

Not covered: the report of a crash that comes after that of the answer.

--- a/packages/routing/src/losses.ts
+++ b/packages/routing/src/losses.ts
@@ -3,16 +3,21 @@
 /** Server processes, each with the time on the monotonic clock when it was lost. */
 export type Losses = ReadonlyMap<string, number>;
 
+/** Losses that were removed. */
+export interface ClearedLosses {
+  /** Parts of which any were removed. */
+  readonly parts: readonly string[];
+  /** Processes of which any were removed. */
+  readonly processes: readonly string[];
+}
+
 /** Record of the losses of one host; a bounded number of parts, of which the oldest yield. */
 export interface LossRecord {
   isEmpty(): boolean;
   /** @returns the parts for which the process was not recorded before */
   add(process: string, parts: readonly string[], at: number): readonly string[];
-  /**
-   * Removes the losses of the parts up to a time.
-   * @returns the parts of which any were removed
-   */
-  clear(parts: readonly string[], upTo: number): readonly string[];
+  /** Removes the losses of the parts up to a time, and those of the given processes at any time. */
+  clear(parts: readonly string[], upTo: number, processes?: readonly string[]): ClearedLosses;
   /** Removes a process from all parts. */
   forget(process: string): void;
   /** @returns the parts for which the process is recorded */
@@ -45,15 +50,23 @@
       removeOldest();
       return added;
     },
-    clear: (parts, upTo) =>
-      parts.filter((part) => {
+    clear: (parts, upTo, processes = []) => {
+      const clearedProcesses = new Set<string>();
+      const clearedParts = parts.filter((part) => {
         const losses = lossesByPart.get(part);
         if (!losses) return false;
-        const cleared = [...losses].filter(([, at]) => at <= upTo);
-        cleared.forEach(([process]) => losses.delete(process));
+        const cleared = [...losses].filter(
+          ([process, at]) => at <= upTo || processes.includes(process),
+        );
+        cleared.forEach(([process]) => {
+          losses.delete(process);
+          clearedProcesses.add(process);
+        });
         if (losses.size === 0) lossesByPart.delete(part);
         return cleared.length > 0;
-      }),
+      });
+      return { parts: clearedParts, processes: [...clearedProcesses] };
+    },
     forget: (process) =>
       lossesByPart.forEach((losses, part) => {
         if (losses.delete(process) && losses.size === 0) lossesByPart.delete(part);
--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -15,6 +15,11 @@
   /** Server process that crashed while it ran the parts; absent if the parts were served. */
   readonly process?: string | undefined;
   readonly parts: readonly string[];
+  /**
+   * Server processes that the sender cleared of the parts. Hosts learn of a crash after different
+   * delays, so that the age alone may not show that the answer began after it.
+   */
+  readonly clearedProcesses?: readonly string[] | undefined;
   /** Milliseconds since the crash was noticed, or since the server began the answer it completed. */
   readonly age: number;
 }
@@ -274,9 +279,9 @@
       const age = sinceBegun();
       const at = clock.monotonic() - age;
       const cleared = losses.clear(parts, at);
-      if (cleared.length === 0) return;
-      recordCleared(cleared, at);
-      onUpdate({ parts: cleared, age });
+      if (cleared.parts.length === 0) return;
+      recordCleared(cleared.parts, at);
+      onUpdate({ parts: cleared.parts, clearedProcesses: cleared.processes, age });
     },
     findBlocked: (parts, minCrashes = MIN_CRASHES) => {
       if (processes.size < minCrashes) return undefined;
@@ -284,13 +289,13 @@
       return getGroups(minCrashes).find((group) => group.parts.every((part) => held.has(part)))
         ?.parts;
     },
-    applyUpdate: ({ process, parts, age }) => {
+    applyUpdate: ({ process, parts, clearedProcesses, age }) => {
       const at = clock.monotonic() - age;
       if (process === undefined) {
         const isKnown = parts.every((part) => (servedTimes.get(part) ?? -Infinity) >= at);
-        const cleared = losses.clear(parts, at);
+        const cleared = losses.clear(parts, at, clearedProcesses);
         recordCleared(parts, at);
-        return cleared.length > 0 || !isKnown;
+        return cleared.parts.length > 0 || !isKnown;
       }
       const record = recordProcess(process, at);
       const added = addLoss(process, parts, at);
--- a/packages/routing/test/parts.feature
+++ b/packages/routing/test/parts.feature
@@ -31,6 +31,11 @@
       | "a p" is served before the report of a third crash arrives   | served  | served |
       | "a p" is served, and a third host tells an older crash later | served  | served |
 
+    # Guards against a host that blocks a part which another host, through faster messages, has cleared.
+    Examples: parts that are served while messages are late
+      | what                                                                                | culprit | sound  |
+      | 3 servers crash at once, the other host learns it 300 ms later, and "a p" is served | served  | served |
+
     Examples: crashes that are none
       | what                                                         | culprit | sound  |
       | 3 servers break connections and stay reachable               | served  | served |
--- a/packages/routing/test/parts.ts
+++ b/packages/routing/test/parts.ts
@@ -159,6 +159,23 @@
       .reverse()
       .forEach((deliver) => deliver());
   },
+  '3 servers crash at once, the other host learns it 300 ms later, and "a p" is served': async (
+    world,
+  ) => {
+    const { clock, hosts, pendingUpdates } = world;
+    Object.assign(world, { deliversAtOnce: false });
+    const servers = ['s1', 's2', 's3'].map((id) => ({ id, born: 1 }));
+    servers.forEach((server) => hosts[0].recordLoss(server, ['a', 'p']));
+    await clock.advance(20);
+    const sinceBegun = startMonotonicStopwatch(clock);
+    await clock.advance(SECOND_MILLISECONDS / 10);
+    servers.forEach((server) => hosts[0].recordUnreachable(server));
+    await clock.advance(300);
+    pendingUpdates.splice(0).forEach((deliver) => deliver());
+    await clock.advance(SECOND_MILLISECONDS);
+    hosts[0].recordServed(['a', 'p'], sinceBegun);
+    pendingUpdates.splice(0).forEach((deliver) => deliver());
+  },
   '"a p" is served, and a third host tells an older crash later': async (world) => {
     await crashTimes(world, 2, ['a p']);
     await serve(world, 'a p');
