--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -15,6 +15,11 @@
   /** Server process that crashed while it ran the parts; absent if the parts were served. */
   readonly process?: string | undefined;
   readonly parts: readonly string[];
+  /**
+   * Server processes that the sender cleared of the parts. Hosts learn of a crash after different
+   * delays, so that the age alone may not show that the answer began after it.
+   */
+  readonly clearedProcesses?: readonly string[] | undefined;
   /** Milliseconds since the crash was noticed, or since the server began the answer it completed. */
   readonly age: number;
 }
@@ -79,6 +84,8 @@
 const LINK_FAILURE_MILLISECONDS = 300;
 /** Time for which a cleared part is known, so that evidence that arrives late does not count. */
 const SERVED_RETENTION_MILLISECONDS = 60_000;
+/** Answers to a part that began within this time of each other are told as one. */
+const SAME_ANSWER_MILLISECONDS = 1000;
 /** Time after which the blocked parts are computed again, as crashes expire. */
 const GROUPS_LIFETIME_MILLISECONDS = 1000;
 const MAX_PROCESSES = 500;
@@ -224,10 +231,13 @@
     recent.forEach((record) => Object.assign(record, { isDoubtful: true }));
   };
 
-  const recordCleared = (parts: readonly string[], at: number): void => {
+  const recordServedTimes = (parts: readonly string[], at: number): void =>
     parts.forEach((part) =>
       servedTimes.set(part, Math.max(at, servedTimes.get(part) ?? -Infinity)),
     );
+
+  /** Finds the blocked parts again after losses were removed or the score of a part has changed. */
+  const refreshBlocked = (): void => {
     version += 1;
     reportBlocked();
   };
@@ -274,9 +284,10 @@
       const age = sinceBegun();
       const at = clock.monotonic() - age;
       const cleared = losses.clear(parts, at);
-      if (cleared.length === 0) return;
-      recordCleared(cleared, at);
-      onUpdate({ parts: cleared, age });
+      if (cleared.parts.length === 0) return;
+      recordServedTimes(cleared.parts, at);
+      refreshBlocked();
+      onUpdate({ parts: cleared.parts, clearedProcesses: cleared.processes, age });
     },
     findBlocked: (parts, minCrashes = MIN_CRASHES) => {
       if (processes.size < minCrashes) return undefined;
@@ -284,13 +295,17 @@
       return getGroups(minCrashes).find((group) => group.parts.every((part) => held.has(part)))
         ?.parts;
     },
-    applyUpdate: ({ process, parts, age }) => {
+    applyUpdate: ({ process, parts, clearedProcesses, age }) => {
       const at = clock.monotonic() - age;
       if (process === undefined) {
-        const isKnown = parts.every((part) => (servedTimes.get(part) ?? -Infinity) >= at);
-        const cleared = losses.clear(parts, at);
-        recordCleared(parts, at);
-        return cleared.length > 0 || !isKnown;
+        const isKnown = parts.every(
+          (part) => (servedTimes.get(part) ?? -Infinity) >= at - SAME_ANSWER_MILLISECONDS,
+        );
+        const cleared = losses.clear(parts, at, clearedProcesses);
+        recordServedTimes(parts, at);
+        // Other parts cannot be blocked, and a host that was cut off learns of many at once.
+        if (cleared.parts.length > 0 || parts.some(losses.has)) refreshBlocked();
+        return cleared.parts.length > 0 || !isKnown;
       }
       const record = recordProcess(process, at);
       const added = addLoss(process, parts, at);
--- a/packages/routing/test/parts.feature
+++ b/packages/routing/test/parts.feature
@@ -31,6 +31,11 @@
       | "a p" is served before the report of a third crash arrives   | served  | served |
       | "a p" is served, and a third host tells an older crash later | served  | served |
 
+    # Guards against a host that blocks a part which another host, through faster messages, has cleared.
+    Examples: parts that are served while messages are late
+      | what                                                                                | culprit | sound  |
+      | 3 servers crash at once, the other host learns it 300 ms later, and "a p" is served | served  | served |
+
     Examples: crashes that are none
       | what                                                         | culprit | sound  |
       | 3 servers break connections and stay reachable               | served  | served |
@@ -58,6 +63,18 @@
     When 3 servers crash while running "a p" and "a b" is served after each
     Then a third host that receives the updates of both blocks "a p" and serves "a b"
 
+  # Guards against hubs that send what all hosts know to all of them again, with each new link.
+  Scenario: Updates that a host knows are not relayed again
+    Given two hosts that exchange updates on prompt parts
+    When 3 servers crash while running "a p" and "a b" is served after each
+    Then nothing of what the first host tells the second over a new link is relayed
+
+  # Guards against a host that stands still for seconds when a new link tells it what was served.
+  Scenario: Many served parts are learned at once
+    Given two hosts that exchange updates on prompt parts
+    When 40 servers crash while running 10000 parts and the first host learns of 1000 other served parts
+    Then it has learned them within 1 s
+
   # Guards against a block that comes too late or stops sound requests, whatever runs beside the part.
   Scenario: Generated requests, crashes and delays of messages
     Then in 60 generated courses few requests with the part run and sound requests are served
--- a/packages/routing/test/parts.ts
+++ b/packages/routing/test/parts.ts
@@ -17,6 +17,7 @@
   pendingUpdates: (() => void)[];
   deliversAtOnce: boolean;
   crashCount: number;
+  learningMilliseconds: number;
 }
 
 const SECOND_MILLISECONDS = 1000;
@@ -159,6 +160,23 @@
       .reverse()
       .forEach((deliver) => deliver());
   },
+  '3 servers crash at once, the other host learns it 300 ms later, and "a p" is served': async (
+    world,
+  ) => {
+    const { clock, hosts, pendingUpdates } = world;
+    Object.assign(world, { deliversAtOnce: false });
+    const servers = ['s1', 's2', 's3'].map((id) => ({ id, born: 1 }));
+    servers.forEach((server) => hosts[0].recordLoss(server, ['a', 'p']));
+    await clock.advance(20);
+    const sinceBegun = startMonotonicStopwatch(clock);
+    await clock.advance(SECOND_MILLISECONDS / 10);
+    servers.forEach((server) => hosts[0].recordUnreachable(server));
+    await clock.advance(300);
+    pendingUpdates.splice(0).forEach((deliver) => deliver());
+    await clock.advance(SECOND_MILLISECONDS);
+    hosts[0].recordServed(['a', 'p'], sinceBegun);
+    pendingUpdates.splice(0).forEach((deliver) => deliver());
+  },
   '"a p" is served, and a third host tells an older crash later': async (world) => {
     await crashTimes(world, 2, ['a p']);
     await serve(world, 'a p');
@@ -255,6 +273,39 @@
   },
 );
 
+Then(
+  'nothing of what the first host tells the second over a new link is relayed',
+  async function check(this: PartsWorld) {
+    const updates = this.hosts[0].listUpdates();
+    await this.clock.advance(5);
+    assert.deepEqual(updates.filter(this.hosts[1].applyUpdate), []);
+  },
+);
+
+When(
+  '{int} servers crash while running {int} parts and the first host learns of {int} other served parts',
+  function learn(this: PartsWorld, servers: number, parts: number, served: number) {
+    const [host] = this.hosts;
+    const all = Array.from({ length: parts }, (_, index) => `p${index}`);
+    const crashes = Array.from({ length: servers }, (_, index) => ({
+      process: `s${index}/1`,
+      parts: all.filter((_part, part) => part % servers === index),
+      age: 0,
+    }));
+    crashes.forEach(host.applyUpdate);
+    const sinceStart = performance.now();
+    Array.from({ length: served }, (_, index) => ({ parts: [`q${index}`], age: 0 })).forEach(
+      host.applyUpdate,
+    );
+    Object.assign(this, { learningMilliseconds: performance.now() - sinceStart });
+  },
+);
+
+Then('it has learned them within {int} s', function check(this: PartsWorld, seconds: number) {
+  const { learningMilliseconds } = this;
+  assert(learningMilliseconds < seconds * SECOND_MILLISECONDS, `${learningMilliseconds} ms`);
+});
+
 Then(
   'in {int} generated courses few requests with the part run and sound requests are served',
   { timeout: 60_000 },
