--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -132,6 +132,7 @@
   const length = headers['content-length'];
   return {
     status,
+    framed: true,
     headers: stream
       ? ['content-type', 'text/event-stream', 'cache-control', 'no-store']
       : ['content-type', 'application/json'],
--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -13,9 +13,11 @@
   hasBegun(): boolean;
   /**
    * Writes the status and the headers.
-   * @param headers alternating names and values; without a length the body is sent in chunks
+   * @param headers alternating names and values
+   * @param framed false if only the end of the connection marks the end of the answer, so that a
+   * truncated answer cannot be detected
    */
-  writeHead(status: number, headers: readonly string[]): void;
+  writeHead(status: number, headers: readonly string[], framed: boolean): void;
   /** @returns false if the write buffer is full; the listener of onDrain is called once it drains */
   write(chunk: Buffer): boolean;
   onDrain(action: () => void): void;
@@ -27,6 +29,8 @@
   readonly status: number;
   /** Headers for the caller: alternating names and values. */
   readonly headers: readonly string[];
+  /** Whether the answer marks its own end; otherwise the end of its connection does. */
+  readonly framed: boolean;
 }
 
 /** Receives one answer; an error thrown here ends the exchange with that error. */
@@ -90,10 +94,6 @@
 /** Events carry a few tokens each. */
 const MAX_EVENT_BYTES = 1_000_000;
 
-const STATUSES_WITHOUT_BODY = new Set([204, 304]);
-
-const hasBody = (status: number): boolean => !STATUSES_WITHOUT_BODY.has(status);
-
 const isSuccess = (status: number): boolean => status >= OK && status < FIRST_REDIRECT_STATUS;
 
 /** Creates a relay that buffers an answer and sends it once it is complete. */
@@ -125,8 +125,8 @@
       if (!head) return;
       const bodyBytes = buffer.bytes();
       checkEnd(head, bodyBytes);
-      const length = hasBody(head.status) ? ['content-length', String(bodyBytes)] : [];
-      writer.writeHead(head.status, [...head.headers, ...length]);
+      const length = head.framed ? ['content-length', String(bodyBytes)] : [];
+      writer.writeHead(head.status, [...head.headers, ...length], head.framed);
       buffer.blocks().forEach((block) => {
         onChunk(block);
         writer.write(block);
@@ -157,7 +157,7 @@
   const writeHead = (): void => {
     if (writer.hasBegun() || !head) return;
     onFirstByte();
-    writer.writeHead(head.status, head.headers);
+    writer.writeHead(head.status, head.headers, head.framed);
   };
 
   const writeChunk = (chunk: Buffer): void => {
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -66,8 +66,6 @@
 
 /** Status and headers of an answer, with what the platform's headers state about it. */
 export interface AnswerHead extends RelayedHead {
-  /** Whether the answer marks its own end; otherwise the end of its connection does. */
-  readonly framed: boolean;
   /** Whether the server states that it did not run the request. */
   readonly notRun: boolean;
   /** Whether the answer carries the server's signature header. */
