--- /dev/null
+++ b/packages/serving/test/crashing.ts
@@ -0,0 +1,227 @@
+/** Simulated servers that crash, and hosts that serve requests with them. */
+import type { Route, ServerEntry, Workspace } from '@bulrushspar/catalogue';
+import type { ManualClock } from '@bulrushspar/clock';
+import { createDemandTracker } from '@bulrushspar/loading';
+import { createMetrics } from '@bulrushspar/metrics';
+import {
+  createSuspectTracker,
+  type PromptPartTracker,
+  type ServerProcess,
+  type SuspectTracker,
+} from '@bulrushspar/routing';
+import {
+  createAdmission,
+  createModelWaits,
+  createRequestHandler,
+  createServerStates,
+  createServingMetrics,
+  createStreamVersions,
+  type Call,
+  type ModelWaits,
+  type Reply,
+  type RequestHandler,
+  type SendCall,
+} from '@bulrushspar/serving';
+import { createReplicatedBucket, createRetryBudget } from '@bulrushspar/shares';
+import { EXCHANGE_FAULT, EXCHANGE_PROGRESS, type ExchangeError } from '@bulrushspar/targets';
+
+/** A simulated server. */
+export interface TestServer {
+  readonly id: string;
+  born: number;
+  isUp: boolean;
+  /** Ends the exchanges that run at the server. */
+  readonly cuts: Set<() => void>;
+}
+
+/** What the caller of a request received. */
+export interface TestAnswer {
+  status: number | undefined;
+  retryAfter: number | undefined;
+  isBroken: boolean;
+  isEnded: boolean;
+}
+
+/** A host that serves requests. */
+export interface TestHost {
+  readonly handler: RequestHandler<Call>;
+  readonly waits: ModelWaits;
+  /** Reads the states of the servers again. */
+  updateServers(): void;
+}
+
+/** Options of {@link createTestHost}. */
+export interface TestHostOptions {
+  readonly clock: ManualClock;
+  readonly servers: readonly TestServer[];
+  readonly promptParts: PromptPartTracker;
+  readonly suspects?: SuspectTracker;
+  readonly send: SendCall<Call>;
+  readonly route?: Partial<Route>;
+  readonly workspaces?: readonly Workspace[];
+  /** Whether the servers hold the model. */
+  readonly isLoaded?: () => boolean;
+}
+
+/** The model that the servers hold. */
+export const MODEL = 'm';
+const STEP_MILLISECONDS = 10;
+const RESTART_MILLISECONDS = 3000;
+
+/** Creates the error of an exchange whose connection broke. */
+export const createCut = (progress: string = EXCHANGE_PROGRESS.ANSWERED): ExchangeError =>
+  Object.assign(new Error('connection lost'), {
+    progress,
+    fault: EXCHANGE_FAULT.CUT,
+  }) as ExchangeError;
+
+/** Creates servers that run. */
+export const createServers = (count: number): TestServer[] =>
+  Array.from({ length: count }, (_none, index) => ({
+    id: `s${index}`,
+    born: 1,
+    isUp: true,
+    cuts: new Set(),
+  }));
+
+const createEntry = ({ id, born }: TestServer, isLoaded: boolean): ServerEntry => ({
+  id,
+  service: 'llm',
+  address: '127.0.0.1:1',
+  failureDomain: 'd1',
+  slots: 8,
+  leaving: false,
+  born,
+  models: isLoaded ? [{ name: MODEL, version: 1, adapters: [] }] : [],
+  inMemory: [],
+  onDisk: [],
+});
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'example',
+  pathPrefix: '/r/',
+  kind: 'stream',
+  timeoutMilliseconds: 10_000,
+  objectiveMilliseconds: 5000,
+  callerTimeoutMilliseconds: 10_000,
+  priority: 0,
+  shares: [{ service: 'llm', weight: 1 }],
+  attempts: 2,
+  open: true,
+  resumable: true,
+};
+
+/** Creates a host that knows the servers. */
+export function createTestHost(options: TestHostOptions): TestHost {
+  const { clock, servers, promptParts, send, isLoaded = () => true } = options;
+  const states = createServerStates(clock);
+  const streams = createStreamVersions({ clock });
+  const waits = createModelWaits({ clock });
+  const updateServers = (): void => {
+    const entries = new Map(servers.map((server) => [server.id, createEntry(server, isLoaded())]));
+    states.update(entries);
+    streams.updateServers(entries);
+    promptParts.updateServers(entries);
+    waits.endReadyWaits(isLoaded);
+  };
+  updateServers();
+  const bucket = createReplicatedBucket({
+    clock,
+    limits: { perSecond: 1, burst: 1 },
+    group: () => ({ linkedFraction: 1 }),
+    initialTokens: 1,
+    slackPerSecond: 0,
+  });
+  const admission = createAdmission({ bucketOf: () => bucket, random: () => 0 });
+  admission.update({
+    version: 1,
+    routes: [{ ...ROUTE, ...options.route }],
+    services: new Map(),
+    workspaces: options.workspaces ?? [],
+    callerLimits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+  });
+  const handler = createRequestHandler<Call>({
+    clock,
+    logger: { info: () => {}, warn: () => {}, error: () => {} },
+    metrics: createServingMetrics(createMetrics()),
+    random: () => 0,
+    failureDomain: 'd1',
+    admission,
+    servers: states,
+    waits,
+    demand: createDemandTracker({ clock }),
+    budget: createRetryBudget({
+      clock,
+      retriesPerRequest: 0.2,
+      slack: 56,
+      windowMilliseconds: 10_000,
+      hosts: () => 1,
+    }),
+    suspects: options.suspects ?? createSuspectTracker({ clock }),
+    promptParts,
+    streams,
+    ensureAdapter: () => Promise.resolve(true),
+    getStoppingRefusal: () => undefined,
+    send,
+  });
+  return { handler, waits, updateServers };
+}
+
+/**
+ * Ends a server with all that it runs; its entry goes when the server is back as a new process.
+ * @param onRestart called when the server is back
+ */
+export function crashServer(clock: ManualClock, server: TestServer, onRestart: () => void): void {
+  Object.assign(server, { isUp: false });
+  [...server.cuts].forEach((cut) => cut());
+  clock.after(RESTART_MILLISECONDS, () => {
+    Object.assign(server, { isUp: true, born: server.born + 1 });
+    onRestart();
+  });
+}
+
+/** Connects to a server, as a host does to confirm that its process has ended. */
+export function probeServer(
+  servers: readonly TestServer[],
+  promptParts: PromptPartTracker,
+  process: ServerProcess,
+): void {
+  const { isUp, born } = servers.find(({ id }) => id === process.id)!;
+  if (!isUp || born !== process.born) promptParts.recordUnreachable(process);
+}
+
+/** Creates the reply that records what a caller receives. */
+export const createReply = (answer: TestAnswer): Reply => ({
+  gone: new AbortController().signal,
+  hasBegun: () => answer.status !== undefined,
+  writeHead: (status) => Object.assign(answer, { status }),
+  write: () => true,
+  onDrain: () => {},
+  end: () => Object.assign(answer, { isEnded: true }),
+  reset: () => Object.assign(answer, { isBroken: true }),
+  refuse: (status, _message, retryAfter) =>
+    Object.assign(answer, { status, retryAfter, isEnded: true }),
+});
+
+/** Creates an answer of which nothing has arrived. */
+export const createAnswer = (): TestAnswer => ({
+  status: undefined,
+  retryAfter: undefined,
+  isBroken: false,
+  isEnded: false,
+});
+
+/** Describes what the caller of a request received. */
+export const describeAnswer = ({ status, isBroken, isEnded }: TestAnswer): string => {
+  if (isBroken) return 'a broken answer';
+  return status === 200 && isEnded ? 'the answer' : String(status);
+};
+
+/** Advances the clock in small steps, so that work that follows each step can run. */
+export async function advance(clock: ManualClock, milliseconds: number): Promise<void> {
+  for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
+    // eslint-disable-next-line no-await-in-loop -- each step starts after the previous one
+    await clock.advance(STEP_MILLISECONDS);
+  }
+}
