Count the crashes of a repeated request like those of a prompt part

Cause: only an exchange that was cut counted against a request. A server that crashes may end an answer without a length in order; inside an event the host knows it as incomplete and answered 502, but recorded it for the prompt parts alone, and these are cleared by the sound requests that share them.

Change: the content of a request is recorded as one more part of its prompt. So each loss counts, cut or incomplete, once per server process, only when the crash is confirmed, and answers clear only what came before their begin. A request that was itself lost is not sent again from two crashes on.

serving/serve 'A request crashes each server' took any cut connection for a crash; its servers now crash and are confirmed as ended. That cuts of servers that live on do not refuse a request is required by serving/repeats.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -14,7 +14,6 @@
 } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
-import { createSuspectTracker } from '@bulrushspar/routing';
 import {
   createAdmission,
   createModelWaits,
@@ -159,10 +158,6 @@
     isFirstStart: options.isFirstStart,
     tolerance: bounds.quota,
   });
-  const suspects = createSuspectTracker({
-    clock,
-    onUpdate: (news) => fleet.broadcast(MESSAGE.SUSPECT, news),
-  });
   const promptParts = createCrashWatch({
     clock,
     logger,
@@ -350,7 +345,6 @@
     forwarding: () => forwarding,
     followers,
     commander: leadership.commander,
-    suspects,
     promptParts,
     servers,
     directory,
@@ -373,7 +367,6 @@
     random,
     handlers,
     onLink: (link) => {
-      suspects.listUpdates().forEach((news) => link.send(MESSAGE.SUSPECT, news));
       promptParts.listUpdates().forEach((update) => link.send(MESSAGE.PROMPT_PARTS, update));
       gossip.sendInitialState(link);
     },
@@ -419,7 +412,6 @@
     waits,
     demand: { ...demand, recordRequests: (model, credit) => gossip.recordRequest(model, credit) },
     budget: retryBudget,
-    suspects,
     promptParts,
     send: options.send,
     streams,
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -2,7 +2,7 @@
 import type { ServerDirectory } from '@bulrushspar/catalogue';
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
-import type { PromptPartTracker, SuspectTracker } from '@bulrushspar/routing';
+import type { PromptPartTracker } from '@bulrushspar/routing';
 import type { ServerStates, StreamVersions } from '@bulrushspar/serving';
 import type { Fleet } from './fleet.js';
 import type { Forwarding } from './forward.js';
@@ -21,7 +21,6 @@
   type PromptPartsMessage,
   type PullMessage,
   type StatesMessage,
-  type SuspectMessage,
   type UnloadingMessage,
   type WantsMessage,
 } from './messages.js';
@@ -34,7 +33,6 @@
   readonly forwarding: () => Forwarding;
   readonly followers: readonly KindFollower[];
   readonly commander: LoadCoordinator;
-  readonly suspects: SuspectTracker;
   readonly promptParts: PromptPartTracker;
   readonly servers: ServerStates;
   readonly directory: ServerDirectory;
@@ -50,7 +48,6 @@
     forwarding,
     followers,
     commander,
-    suspects,
     promptParts,
     servers,
     directory,
@@ -119,10 +116,6 @@
       fleet().relay(MESSAGE.CHANGES, message, from.host);
     },
     [MESSAGE.PULL]: (body) => followerOf((body as PullMessage).kind)?.snapshot(),
-    [MESSAGE.SUSPECT]: (body, from) => {
-      suspects.applyUpdate(body as SuspectMessage);
-      fleet().relay(MESSAGE.SUSPECT, body as SuspectMessage, from.host);
-    },
     [MESSAGE.PROMPT_PARTS]: (body, from) => {
       const message = body as PromptPartsMessage;
       // Several hosts may have told the same; each host passes it on once.
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,6 @@
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
-import type { PromptPartUpdate, SuspectUpdate } from '@bulrushspar/routing';
+import type { PromptPartUpdate } from '@bulrushspar/routing';
 import type { BegunStream } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
 import type { RunningRequests } from './totals.js';
@@ -33,8 +33,6 @@
   CHANGES: 'changes',
   /** Requests all objects of a kind. */
   PULL: 'pull',
-  /** A server crashed while it ran the request. */
-  SUSPECT: 'suspect',
   /** A server crashed while it ran prompt parts, or prompt parts were served since. */
   PROMPT_PARTS: 'prompt-parts',
 } as const;
@@ -195,8 +193,5 @@
   readonly afterOutage: boolean;
 }
 
-/** Body of {@link MESSAGE.SUSPECT}. */
-export type SuspectMessage = SuspectUpdate & Relayed;
-
 /** Body of {@link MESSAGE.PROMPT_PARTS}. */
 export type PromptPartsMessage = PromptPartUpdate & Relayed;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,6 +16,7 @@
   type QueueSlot,
 } from './queue.js';
 export {
+  createContentPart,
   createPromptPartTracker,
   type PromptPartTracker,
   type PromptPartTrackerOptions,
--- a/packages/routing/src/losses.ts
+++ b/packages/routing/src/losses.ts
@@ -16,6 +16,8 @@
   isEmpty(): boolean;
   /** @returns whether any process was lost while it ran the part */
   has(part: string): boolean;
+  /** @returns the processes that were lost while they ran the part */
+  lossesOf(part: string): Losses;
   /** @returns the parts for which the process was not recorded before */
   add(process: string, parts: readonly string[], at: number): readonly string[];
   /** Removes the losses of the parts up to a time, and those of the given processes at any time. */
@@ -43,6 +45,7 @@
   return {
     isEmpty: () => lossesByPart.size === 0,
     has: (part) => lossesByPart.has(part),
+    lossesOf: (part) => lossesByPart.get(part) ?? new Map(),
     add: (process, parts, at) => {
       const added = parts.filter((part) => !lossesByPart.get(part)?.has(process));
       added.forEach((part) => {
--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -1,4 +1,7 @@
-/** Replicated record of the prompt parts that were running when servers crashed. */
+/**
+ * Replicated record of the prompt parts that were running when servers crashed. The content of a
+ * request counts as a part of its own, which only the same request holds.
+ */
 import type { Clock, Stopwatch } from '@bulrushspar/clock';
 import { groupCandidates, type Candidate, type CandidateGroup } from './candidates.js';
 import { createLossRecord, type Losses } from './losses.js';
@@ -29,6 +32,12 @@
  * whose request was served does not crash servers.
  */
 export interface PromptPartTracker {
+  /** @returns whether no crash is recorded, so that lookups can be skipped */
+  isEmpty(): boolean;
+  /** @returns whether a server broke the connection of a request with the part, as far as is known */
+  isSuspected(part: string): boolean;
+  /** @returns the number of confirmed crashes of servers that ran the part */
+  countCrashes(part: string): number;
   /** Records that a server broke the connection of a request; it counts once the crash is confirmed. */
   recordLoss(server: ServerProcess, parts: readonly string[]): void;
   /** Records that this host cannot connect to the server process any more. */
@@ -44,7 +53,8 @@
   recordServed(parts: readonly string[], sinceBegun: Stopwatch): void;
   /**
    * Returns the parts for which a request with the given parts is blocked; undefined if it is not.
-   * @param minCrashes number of confirmed crashes from which parts are blocked
+   * @param minCrashes number of confirmed crashes from which parts are blocked; below the default only
+   *   shared parts are, whether or not the contents of requests explain the crashes as well
    */
   findBlocked(parts: readonly string[], minCrashes?: number): readonly string[] | undefined;
   /**
@@ -71,7 +81,10 @@
   readonly onUnblocked?: (parts: readonly string[]) => void;
   /** Time for which a crash counts, in milliseconds; 10 minutes by default. */
   readonly retentionMilliseconds?: number;
-  /** Time after the last crash for which a part is blocked, in milliseconds; 2 minutes by default. */
+  /**
+   * Time after the last crash for which a part that requests share is blocked, in milliseconds; 2
+   * minutes by default.
+   */
   readonly blockMilliseconds?: number;
 }
 
@@ -89,6 +102,7 @@
 /** Time after which the blocked parts are computed again, as crashes expire. */
 const GROUPS_LIFETIME_MILLISECONDS = 1000;
 const MAX_PROCESSES = 500;
+const CONTENT_PREFIX = 'content:';
 
 interface ProcessRecord {
   /** Time on the monotonic clock of the last connection lost before the crash was confirmed. */
@@ -108,6 +122,11 @@
   readonly groups: readonly CandidateGroup[];
 }
 
+/** Returns the part that stands for the content of a request. */
+export const createContentPart = (fingerprint: string): string => `${CONTENT_PREFIX}${fingerprint}`;
+
+const isContent = (part: string): boolean => part.startsWith(CONTENT_PREFIX);
+
 const processKey = ({ id, born }: ServerProcess): string => `${id}/${born}`;
 
 /** Creates the tracker of one host, without suspected parts. */
@@ -140,21 +159,24 @@
     });
   };
 
+  const listCrashes = (lossesOfPart: Losses): readonly string[] =>
+    [...lossesOfPart.keys()].filter((process) => processes.get(process)?.isConfirmed);
+
   const createCandidate = (part: string, lossesOfPart: Losses): Candidate => {
-    const crashes = [...lossesOfPart.keys()].filter(
-      (process) => processes.get(process)?.isConfirmed,
-    );
+    const crashes = listCrashes(lossesOfPart);
     const wasServed = servedTimes.has(part);
     return { part, crashes: new Set(crashes), score: crashes.length - (wasServed ? 1 : 0) };
   };
 
-  const isRecent = (lossesOfPart: Losses): boolean =>
-    clock.monotonic() - Math.max(...lossesOfPart.values()) <= blockMilliseconds;
+  const isRecent = (part: string, lossesOfPart: Losses): boolean =>
+    isContent(part) || clock.monotonic() - Math.max(...lossesOfPart.values()) <= blockMilliseconds;
 
   const computeGroups = (minCrashes: number): readonly CandidateGroup[] => {
     removeExpired();
+    const includesContents = minCrashes >= MIN_CRASHES;
     const candidates = [...losses.entries()].flatMap(([part, lossesOfPart]) => {
-      if (lossesOfPart.size < minCrashes || !isRecent(lossesOfPart)) return [];
+      if (!includesContents && isContent(part)) return [];
+      if (lossesOfPart.size < minCrashes || !isRecent(part, lossesOfPart)) return [];
       const candidate = createCandidate(part, lossesOfPart);
       return candidate.crashes.size < minCrashes ? [] : [candidate];
     });
@@ -243,6 +265,12 @@
   };
 
   return {
+    isEmpty: losses.isEmpty,
+    isSuspected: losses.has,
+    countCrashes: (part) => {
+      removeExpired();
+      return listCrashes(losses.lossesOf(part)).length;
+    },
     recordLoss: (server, parts) => {
       const process = processKey(server);
       const now = clock.monotonic();
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -113,12 +113,6 @@
  */
 const MAX_PROMPT_PARTS = 5000;
 
-/** The server of an attempt and the time since the request was sent to it. */
-interface SentAttempt {
-  readonly state: ServerState;
-  readonly sinceSent: Stopwatch;
-}
-
 /** Creates the attempt runner of one host. */
 export function createAttemptRunner<SomeCall extends Call>(
   options: AttemptRunnerOptions<SomeCall>,
@@ -366,7 +360,6 @@
   const handleFailure = (
     request: ActiveRequest<SomeCall>,
     state: ServerState,
-    sinceSent: Stopwatch,
     error: unknown,
   ): void => {
     const { call, signal, reply } = request;
@@ -393,9 +386,8 @@
     }
     servers.recordOutcome(state, true);
     const connectionLost = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
-    if (connectionLost) crashGuard.recordLoss(call, state.entry, sinceSent);
-    else if (status !== undefined && isSuccess(status))
-      crashGuard.recordIncomplete(call, state.entry);
+    const incomplete = status !== undefined && isSuccess(status);
+    if (connectionLost || incomplete) crashGuard.recordLoss(call, state.entry);
     const isFinal = !mayRetry(request);
     Object.assign(request, { possibleRunCount: request.possibleRunCount + 1 });
     if (isFinal) throw createTargetFailedRefusal(error);
@@ -445,20 +437,19 @@
   };
 
   const run = (request: ActiveRequest<SomeCall>): Promise<ServerState> =>
-    sendUntilAnswered<SentAttempt, ServerState>({
+    sendUntilAnswered<ServerState, ServerState>({
       selectDestination: async (lastError) => {
         const state = await prepareNextServer(request, lastError);
         Object.assign(request, { sendCount: request.sendCount + 1 });
         request.triedServers.add(state.entry.id);
-        return { state, sinceSent: startStopwatch(clock) };
+        return state;
       },
-      send: async ({ state }) => {
+      send: async (state) => {
         await sendOnce(request, state);
         servers.recordOutcome(state, false);
         return state;
       },
-      handleFailure: ({ state, sinceSent }, error) =>
-        handleFailure(request, state, sinceSent, error),
+      handleFailure: (state, error) => handleFailure(request, state, error),
     });
 
   return { run, mayRetry };
--- a/packages/serving/src/crashes.ts
+++ b/packages/serving/src/crashes.ts
@@ -2,20 +2,18 @@
 import type { ServerEntry } from '@bulrushspar/catalogue';
 import type { Stopwatch } from '@bulrushspar/clock';
 import { createRefusal, REFUSAL } from '@bulrushspar/errors';
-import type { PromptPartTracker, SuspectTracker } from '@bulrushspar/routing';
+import { createContentPart, type PromptPartTracker } from '@bulrushspar/routing';
 import type { Call } from './call.js';
 
 /** The crashes that this host knows of, as far as they concern its requests. */
 export interface CrashGuard {
-  /** Throws the refusal of a request that may crash the server that it is sent to next. */
-  check(call: Call, wasLost: boolean): void;
   /**
-   * Records that a server broke the connection of a request.
-   * @param sinceSent stopwatch started when the request was sent to the server
+   * Throws the refusal of a request that may crash the server that it is sent to next.
+   * @param wasLost a server that ran the request may have crashed, and it has not been answered since
    */
-  recordLoss(call: Call, server: ServerEntry, sinceSent: Stopwatch): void;
-  /** Records that the answer of a server was incomplete, as after a crash. */
-  recordIncomplete(call: Call, server: ServerEntry): void;
+  check(call: Call, wasLost: boolean): void;
+  /** Records that a server broke the connection of a request, or that its answer was incomplete. */
+  recordLoss(call: Call, server: ServerEntry): void;
   /** Records that a server has begun an answer. */
   recordAnswer(): void;
   /** Records that this host could not connect to a server. */
@@ -24,22 +22,19 @@
    * Clears a request and its prompt parts after it was served, as connections can be lost for reasons
    * other than a crash.
    * @param sinceBegun stopwatch started when the server began the answer; undefined if its status or
-   *   its end does not show that the server has written all of it, so that the parts are not cleared
+   *   its end does not show that the server has written all of it, so that nothing is cleared
    */
   recordServed(call: Call, sinceBegun: Stopwatch | undefined): void;
 }
 
 /** Options of {@link createCrashGuard}. */
 export interface CrashGuardOptions {
-  readonly suspects: SuspectTracker;
   readonly promptParts: PromptPartTracker;
 }
 
-/** Number of server crashes while running a request after which that request is refused. */
-const MAX_CRASHES = 3;
 /**
- * Number of crashes with a prompt part from which a request that was itself lost is not sent again;
- * a new request is refused from one more.
+ * Number of crashes from which a request that was itself lost is not sent again; a new request is
+ * refused from one more.
  */
 const MIN_CRASHES_OF_LOST_REQUEST = 2;
 
@@ -47,46 +42,44 @@
 const listSharedParts = ({ requirements }: Call): readonly string[] =>
   requirements?.promptParts.slice(0, -1).map(({ id }) => id) ?? [];
 
-/** Creates the guard of one host. */
-export function createCrashGuard({ suspects, promptParts }: CrashGuardOptions): CrashGuard {
-  const countCrashes = (call: Call): number =>
-    suspects.isEmpty() ? 0 : suspects.countCrashes(call.fingerprint());
+const getContentPart = (call: Call): string => createContentPart(call.fingerprint());
 
-  const recordIncomplete = (call: Call, server: ServerEntry): void => {
-    const parts = listSharedParts(call);
-    // A server that is leaving closes its connections without a crash.
-    if (parts.length > 0 && !server.leaving) promptParts.recordLoss(server, parts);
+const listParts = (call: Call): readonly string[] => [
+  ...listSharedParts(call),
+  getContentPart(call),
+];
+
+/** Creates the guard of one host. */
+export function createCrashGuard({ promptParts }: CrashGuardOptions): CrashGuard {
+  const findBlocked = (call: Call, wasLost: boolean): readonly string[] | undefined => {
+    if (promptParts.isEmpty()) return undefined;
+    const content = getContentPart(call);
+    if (wasLost && promptParts.countCrashes(content) >= MIN_CRASHES_OF_LOST_REQUEST)
+      return [content];
+    const blocked = promptParts.findBlocked(listParts(call));
+    if (blocked || !(wasLost || promptParts.isSuspected(content))) return blocked;
+    return promptParts.findBlocked(listSharedParts(call), MIN_CRASHES_OF_LOST_REQUEST);
   };
 
   return {
     check: (call, wasLost) => {
-      const crashes = countCrashes(call);
-      if (!wasLost && crashes >= MAX_CRASHES) {
-        throw createRefusal({
-          status: 503,
-          code: REFUSAL.CRASHES_SERVERS,
-          message: 'the request is blocked because several servers crashed while running it',
-        });
-      }
-      const minCrashes = wasLost || crashes > 0 ? MIN_CRASHES_OF_LOST_REQUEST : undefined;
-      const blocked = promptParts.findBlocked(listSharedParts(call), minCrashes);
+      const blocked = findBlocked(call, wasLost);
       if (!blocked) return;
       throw createRefusal({
         status: 503,
         code: REFUSAL.CRASHES_SERVERS,
-        message: `the request is blocked because several servers crashed while running prompt part ${blocked.join(', ')}`,
+        message: `the request is blocked because several servers crashed while running ${blocked.join(', ')}`,
       });
     },
-    recordLoss: (call, server, sinceSent) => {
-      suspects.recordCrash(call.fingerprint(), server.id, sinceSent);
-      recordIncomplete(call, server);
+    recordLoss: (call, server) => {
+      // A server that is leaving closes its connections without a crash.
+      if (!server.leaving) promptParts.recordLoss(server, listParts(call));
     },
-    recordIncomplete,
     recordAnswer: () => promptParts.recordAnswer(),
     recordUnreachable: (server) => promptParts.recordUnreachable(server),
     recordServed: (call, sinceBegun) => {
-      if (countCrashes(call) > 0) suspects.clear(call.fingerprint());
-      if (sinceBegun) promptParts.recordServed(listSharedParts(call), sinceBegun);
+      if (sinceBegun && !promptParts.isEmpty())
+        promptParts.recordServed(listParts(call), sinceBegun);
     },
   };
 }
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -3,12 +3,7 @@
 import type { ManualClock } from '@bulrushspar/clock';
 import { createDemandTracker } from '@bulrushspar/loading';
 import { createMetrics } from '@bulrushspar/metrics';
-import {
-  createSuspectTracker,
-  type PromptPartTracker,
-  type ServerProcess,
-  type SuspectTracker,
-} from '@bulrushspar/routing';
+import type { PromptPartTracker, ServerProcess } from '@bulrushspar/routing';
 import {
   createAdmission,
   createModelWaits,
@@ -55,7 +50,6 @@
   readonly clock: ManualClock;
   readonly servers: readonly TestServer[];
   readonly promptParts: PromptPartTracker;
-  readonly suspects?: SuspectTracker;
   readonly send: SendCall<Call>;
   readonly route?: Partial<Route>;
   readonly workspaces?: readonly Workspace[];
@@ -158,7 +152,6 @@
       windowMilliseconds: 10_000,
       hosts: () => 1,
     }),
-    suspects: options.suspects ?? createSuspectTracker({ clock }),
     promptParts,
     streams,
     ensureAdapter: () => Promise.resolve(true),
--- a/packages/serving/test/repeats.ts
+++ b/packages/serving/test/repeats.ts
@@ -2,11 +2,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
-import {
-  createPromptPartTracker,
-  createSuspectTracker,
-  type PromptPartTracker,
-} from '@bulrushspar/routing';
+import { createPromptPartTracker, type PromptPartTracker } from '@bulrushspar/routing';
 import type { AnswerSink, Call, SendCall } from '@bulrushspar/serving';
 import { EXCHANGE_PROGRESS } from '@bulrushspar/targets';
 import {
@@ -128,14 +124,13 @@
   ) {
     const clock = createManualClock();
     const servers = createServers(Number(serverCount));
-    const suspects = createSuspectTracker({ clock });
     Object.assign(this, { clock, servers, hosts: [], trackers: [], sends: 0, answers: [] });
     for (let index = 0; index < Number(hostCount); index += 1) {
       const promptParts = createTracker(this, index);
       this.trackers.push(promptParts);
       const send = createSend(this);
       const route = ROUTES[kind];
-      this.hosts.push(createTestHost({ clock, servers, promptParts, suspects, send, route }));
+      this.hosts.push(createTestHost({ clock, servers, promptParts, send, route }));
     }
   },
 );
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -79,7 +79,7 @@
 
   Scenario: A request crashes each server that runs it
     Given a once route
-    And servers that one after another are cut, are cut, are cut, answer
+    And servers that one after another crash, crash, crash, answer
     When the same request is served 4 times
     Then the caller gets 503
     And 3 servers received it
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -5,7 +5,7 @@
 import type { FleetConfiguration, Route, ServerEntry } from '@bulrushspar/catalogue';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import { createDemandTracker } from '@bulrushspar/loading';
-import { createPromptPartTracker, createSuspectTracker } from '@bulrushspar/routing';
+import { createPromptPartTracker } from '@bulrushspar/routing';
 import {
   createAdmission,
   createModelWaits,
@@ -265,6 +265,7 @@
   if (stopsAfterMilliseconds < Infinity) clock.after(stopsAfterMilliseconds, waits.close);
   const stopsAt = clock.monotonic() + stopsAfterMilliseconds;
   const changed = world;
+  const promptParts = createPromptPartTracker({ clock });
   return createRequestHandler<Call>({
     clock,
     logger: { info: () => {}, warn: () => {}, error: () => {} },
@@ -282,8 +283,7 @@
       windowMilliseconds: 10_000,
       hosts: () => 1,
     }),
-    suspects: createSuspectTracker({ clock }),
-    promptParts: createPromptPartTracker({ clock }),
+    promptParts,
     streams: world.streams,
     ensureAdapter: () => Promise.resolve(true),
     getStoppingRefusal: () => (clock.monotonic() >= stopsAt ? createStoppingRefusal() : undefined),
@@ -297,7 +297,8 @@
       );
     },
     send: async (_call, attempt, sink, signal) => {
-      const { id } = attempt.server;
+      const { server } = attempt;
+      const { id } = server;
       changed.sendsByServer.set(id, (changed.sendsByServer.get(id) ?? 0) + 1);
       const behaviour = changed.behaviours[changed.sends] ?? 'answer';
       changed.sends += 1;
@@ -307,6 +308,10 @@
         if (behaviour === 'are silent') await rejectOnAbort(signal);
         const late = /^answer after (\d+) ms$/.exec(behaviour);
         if (late) await Promise.race([clock.delay(Number(late[1])), rejectOnAbort(signal)]);
+        if (behaviour === 'crash') {
+          clock.after(1, () => promptParts.recordUnreachable(server));
+          throw cut(EXCHANGE_PROGRESS.SENT);
+        }
         behave(changed, late ? 'answer' : behaviour, sink, attempt);
       } finally {
         changed.activeSends -= 1;
