Tell the answers that a crash has ended from whole ones by the server's next answer

Change: an answer whose end only the end of its connection marks counts as served once the same server process answers a request that was sent later, and as lost if the process turns out to have ended within a second (to this host or, by another's report, to any). For parts that are suspected already the process is asked at once. A failed connect alone records a loss and confirms it only with the next one, so that a host that loses its own link blames nothing.

--- a/packages/entry/src/crashes.ts
+++ b/packages/entry/src/crashes.ts
@@ -1,6 +1,6 @@
 /** Finds the prompt parts on which servers crash, and confirms the crashes that this host notices. */
 import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
-import type { Clock } from '@bulrushspar/clock';
+import { startMonotonicStopwatch, type Clock } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import {
@@ -49,8 +49,10 @@
       tracker.updateServers(current());
       return true;
     }
+    const sinceSent = startMonotonicStopwatch(clock);
     try {
       await report(entry);
+      tracker.recordAlive(server, sinceSent);
       // A process that ends may close its connections before it stops to accept new ones.
       return false;
     } catch (error) {
--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -5,6 +5,7 @@
 import type { Clock, Stopwatch } from '@bulrushspar/clock';
 import { groupCandidates, type Candidate, type CandidateGroup } from './candidates.js';
 import { createLossRecord, type Losses } from './losses.js';
+import { createUnmarkedAnswers } from './unmarked.js';
 
 /** A process of a server; a restart with the same id has another start time. */
 export interface ServerProcess {
@@ -42,8 +43,23 @@
   recordLoss(server: ServerProcess, parts: readonly string[]): void;
   /** Records that this host cannot connect to the server process any more. */
   recordUnreachable(server: ServerProcess): void;
+  /**
+   * Records an answer whose end only the end of its connection marks: it counts as served once the
+   * server process answers a later request, and as lost if the process turns out to have ended.
+   * @param sinceBegun stopwatch started when the server began the answer
+   */
+  recordUnmarkedAnswer(
+    server: ServerProcess,
+    parts: readonly string[],
+    sinceBegun: Stopwatch,
+  ): void;
   /** Records that a server has begun an answer to this host, whose own link therefore works. */
   recordAnswer(): void;
+  /**
+   * Records that a server process has answered this host.
+   * @param sinceSent stopwatch started when the request was sent to the server
+   */
+  recordAlive(server: ServerProcess, sinceSent: Stopwatch): void;
   /** Confirms the crashes of the server processes that are not listed any more. */
   updateServers(servers: ReadonlyMap<string, ServerProcess>): void;
   /**
@@ -136,6 +152,7 @@
   const { retentionMilliseconds = 600_000, blockMilliseconds = 120_000 } = options;
   const processes = new Map<string, ProcessRecord>();
   const losses = createLossRecord();
+  const unmarkedAnswers = createUnmarkedAnswers(clock);
   /** When a server began the last answer that cleared a part. */
   const servedTimes = new Map<string, number>();
   const groupsByMinCrashes = new Map<number, CachedGroups>();
@@ -232,8 +249,16 @@
     age: clock.monotonic() - at,
   });
 
+  /** Returns the parts of the unmarked answers that the end of their server process may have ended. */
+  const takeEndedParts = (process: string, sinceEnd: number): readonly string[] => {
+    const answers = unmarkedAnswers.takeEnded(process, sinceEnd);
+    return [...new Set(answers.flatMap(({ parts }) => parts))];
+  };
+
   const confirm = (process: string, record: ProcessRecord): void => {
-    Object.assign(record, { isConfirmed: true });
+    const ended = takeEndedParts(process, clock.monotonic() - record.at);
+    const added = addLoss(process, ended, record.at);
+    Object.assign(record, { isConfirmed: true, isOwn: record.isOwn || added.length > 0 });
     version += 1;
     if (record.isOwn) {
       const update = createCrashUpdate(process, record);
@@ -264,6 +289,33 @@
     reportBlocked();
   };
 
+  const recordLoss = (server: ServerProcess, parts: readonly string[]): void => {
+    const process = processKey(server);
+    const now = clock.monotonic();
+    removeExpired();
+    const record = recordProcess(process, now);
+    const added = addLoss(process, parts, now);
+    if (!record.isConfirmed) {
+      Object.assign(record, { at: now, isOwn: true });
+      detectLinkFailure();
+      onLoss(server);
+    } else if (added.length > 0) {
+      onUpdate({ process, parts: added, age: 0 });
+      reportBlocked();
+    }
+  };
+
+  const recordServed = (parts: readonly string[], sinceBegun: Stopwatch): void => {
+    if (losses.isEmpty()) return;
+    const age = sinceBegun();
+    const at = clock.monotonic() - age;
+    const cleared = losses.clear(parts, at);
+    if (cleared.parts.length === 0) return;
+    recordServedTimes(cleared.parts, at);
+    refreshBlocked();
+    onUpdate({ parts: cleared.parts, clearedProcesses: cleared.processes, age });
+  };
+
   return {
     isEmpty: losses.isEmpty,
     isSuspected: losses.has,
@@ -271,25 +323,26 @@
       removeExpired();
       return listCrashes(losses.lossesOf(part)).length;
     },
-    recordLoss: (server, parts) => {
+    recordLoss,
+    recordUnmarkedAnswer: (server, parts, sinceBegun) => {
       const process = processKey(server);
-      const now = clock.monotonic();
-      removeExpired();
-      const record = recordProcess(process, now);
-      const added = addLoss(process, parts, now);
-      if (!record.isConfirmed) {
-        Object.assign(record, { at: now, isOwn: true });
-        detectLinkFailure();
-        onLoss(server);
-      } else if (added.length > 0) {
-        onUpdate({ process, parts: added, age: 0 });
-        reportBlocked();
+      if (processes.get(process)?.isConfirmed) {
+        recordLoss(server, parts);
+        return;
       }
+      unmarkedAnswers.add(process, parts, sinceBegun);
+      if (parts.some(losses.has)) onLoss(server);
     },
     recordUnreachable: (server) => {
       const process = processKey(server);
       const record = processes.get(process);
-      if (!record || record.isConfirmed) return;
+      if (!record) {
+        // Not confirmed yet: this host may have lost its own link.
+        const parts = takeEndedParts(process, 0);
+        if (parts.length > 0) recordLoss(server, parts);
+        return;
+      }
+      if (record.isConfirmed) return;
       record.isUnreachable = true;
       if (!record.isDoubtful) confirm(process, record);
     },
@@ -299,6 +352,10 @@
         Object.assign(record, { isDoubtful: false });
         if (record.isUnreachable) confirm(process, record);
       }),
+    recordAlive: (server, sinceSent) =>
+      unmarkedAnswers
+        .takeAnswered(processKey(server), sinceSent)
+        .forEach(({ parts, sinceBegun }) => recordServed(parts, sinceBegun)),
     updateServers: (servers) => {
       removeExpired();
       if (![...processes.values()].some(({ isConfirmed }) => !isConfirmed)) return;
@@ -307,16 +364,7 @@
         if (!record.isConfirmed && !listed.has(process)) confirm(process, record);
       });
     },
-    recordServed: (parts, sinceBegun) => {
-      if (losses.isEmpty()) return;
-      const age = sinceBegun();
-      const at = clock.monotonic() - age;
-      const cleared = losses.clear(parts, at);
-      if (cleared.parts.length === 0) return;
-      recordServedTimes(cleared.parts, at);
-      refreshBlocked();
-      onUpdate({ parts: cleared.parts, clearedProcesses: cleared.processes, age });
-    },
+    recordServed,
     findBlocked: (parts, minCrashes = MIN_CRASHES) => {
       if (processes.size < minCrashes) return undefined;
       const held = new Set(parts);
--- a/packages/routing/test/parts.feature
+++ b/packages/routing/test/parts.feature
@@ -45,6 +45,16 @@
       | a host loses 4 servers at once, and another answers          | blocked | served |
       | a host loses 4 servers at once, which are gone from the list | blocked | served |
 
+    # Guards against crashes that are forgotten, or invented, where only a closed connection ends answers.
+    Examples: answers whose end only the end of their connection marks
+      | what                                                                              | culprit | sound  |
+      | 3 servers end answers to "a p" and cannot be reached any more                     | blocked | served |
+      | 3 servers end answers to "a p" and cannot be reached 2 s later                    | served  | served |
+      | 3 servers end answers to "a p", answer again, and cannot be reached any more      | served  | served |
+      | 3 servers end answers to "a p", which another host reports as crashed             | blocked | served |
+      | 3 servers crash while running "a p", and another ends an answer and answers again | served  | served |
+      | a host cannot reach any of 4 servers that have ended answers to "a p"             | served  | served |
+
     Examples: expiry
       | what                                                               | culprit | sound  |
       | 3 servers crashed while running "a p" 121 s ago                    | served  | served |
--- a/packages/routing/test/parts.ts
+++ b/packages/routing/test/parts.ts
@@ -97,6 +97,41 @@
   servers.forEach((server) => hosts[0].recordUnreachable(server));
 }
 
+/** A server ends an answer to a request of the first host; only the end of its connection shows it. */
+async function endAnswer({ clock, hosts }: PartsWorld, id: string): Promise<void> {
+  const sinceBegun = startMonotonicStopwatch(clock);
+  await clock.advance(10);
+  hosts[0].recordUnmarkedAnswer({ id, born: 1 }, ['a', 'p'], sinceBegun);
+  await clock.advance(10);
+}
+
+/** The first host finds twice that it cannot reach a server. */
+async function findUnreachable({ clock, hosts }: PartsWorld, id: string): Promise<void> {
+  hosts[0].recordUnreachable({ id, born: 1 });
+  await clock.advance(SECOND_MILLISECONDS / 10);
+  hosts[0].recordUnreachable({ id, born: 1 });
+}
+
+async function answerAgain({ clock, hosts }: PartsWorld, id: string): Promise<void> {
+  const sinceSent = startMonotonicStopwatch(clock);
+  await clock.advance(10);
+  hosts[0].recordAlive({ id, born: 1 }, sinceSent);
+}
+
+const SERVER_IDS = ['s1', 's2', 's3'];
+
+async function forEachServer(
+  ids: readonly string[],
+  ...actions: readonly ((id: string) => unknown)[]
+): Promise<void> {
+  for (const id of ids) {
+    for (const action of actions) {
+      // eslint-disable-next-line no-await-in-loop -- one action after the other
+      await action(id);
+    }
+  }
+}
+
 const EVENTS: Readonly<Record<string, (world: PartsWorld) => Promise<void>>> = {
   '2 servers crash while running "a p" and "a b"': (world) => crashTimes(world, 2, ['a p', 'a b']),
   '3 servers crash while running "a p"': (world) => crashTimes(world, 3, ['a p']),
@@ -215,6 +250,46 @@
     await loseServersAtOnce(world);
     world.hosts[0].updateServers(new Map());
   },
+  '3 servers end answers to "a p" and cannot be reached any more': (world) =>
+    forEachServer(
+      SERVER_IDS,
+      (id) => endAnswer(world, id),
+      (id) => findUnreachable(world, id),
+    ),
+  '3 servers end answers to "a p" and cannot be reached 2 s later': (world) =>
+    forEachServer(
+      SERVER_IDS,
+      (id) => endAnswer(world, id),
+      () => world.clock.advance(2 * SECOND_MILLISECONDS),
+      (id) => findUnreachable(world, id),
+    ),
+  '3 servers end answers to "a p", answer again, and cannot be reached any more': (world) =>
+    forEachServer(
+      SERVER_IDS,
+      (id) => endAnswer(world, id),
+      (id) => answerAgain(world, id),
+      (id) => findUnreachable(world, id),
+    ),
+  '3 servers end answers to "a p", which another host reports as crashed': (world) =>
+    forEachServer(
+      SERVER_IDS,
+      (id) => endAnswer(world, id),
+      (id) => world.hosts[0].applyUpdate({ process: `${id}/1`, parts: [`c-${id}`], age: 10 }),
+    ),
+  '3 servers crash while running "a p", and another ends an answer and answers again': async (
+    world,
+  ) => {
+    await crashTimes(world, 3, ['a p']);
+    await endAnswer(world, 's9');
+    await answerAgain(world, 's9');
+  },
+  'a host cannot reach any of 4 servers that have ended answers to "a p"': async (world) => {
+    const ids = [...SERVER_IDS, 's4'];
+    await forEachServer(ids, (id) => endAnswer(world, id));
+    ids.forEach((id) => world.hosts[0].recordUnreachable({ id, born: 1 }));
+    await world.clock.advance(SECOND_MILLISECONDS / 10);
+    ids.forEach((id) => world.hosts[0].recordUnreachable({ id, born: 1 }));
+  },
   '3 servers crashed while running "a p" 121 s ago': async (world) => {
     await crashTimes(world, 3, ['a p']);
     await world.clock.advance(121 * SECOND_MILLISECONDS);
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,11 +1,6 @@
 /** Attempts of one request: selects servers, sends the request and handles failures. */
 import { ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
-import {
-  startMonotonicStopwatch,
-  startStopwatch,
-  type Clock,
-  type Stopwatch,
-} from '@bulrushspar/clock';
+import { startMonotonicStopwatch, startStopwatch, type Clock } from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import { sendUntilAnswered, type Relay } from '@bulrushspar/routing';
@@ -23,7 +18,7 @@
   type ServerNotice,
 } from './call.js';
 import { selectServer, promptPartKey } from './choose.js';
-import type { CrashGuard } from './crashes.js';
+import type { BegunAnswer, CrashGuard } from './crashes.js';
 import type { ServingMetrics } from './metrics.js';
 import type { ServerState, ServerStates } from './servers.js';
 import {
@@ -54,8 +49,8 @@
   possibleRunCount: number;
   /** Software version at which the stream must go on, once it has begun. */
   requiredVersion: string | undefined;
-  /** Started when the server of the last attempt began an answer that marks its own end. */
-  sinceBegun: Stopwatch | undefined;
+  /** Successful answer that the server of the last attempt has begun. */
+  begunAnswer: BegunAnswer | undefined;
 }
 
 /** Sends each request to servers until one of them answers it. */
@@ -295,7 +290,8 @@
     const silenceController = new AbortController();
     const cancelSilenceTimeout = startSilenceTimeout(request, silenceController);
     const sink = relay.openSink();
-    Object.assign(request, { sinceBegun: undefined });
+    const sinceSent = startMonotonicStopwatch(clock);
+    Object.assign(request, { begunAnswer: undefined });
     changeOutstanding(state, call.requirements?.model, 1);
     if (call.requirements) recordPromptParts(state, call.requirements);
     try {
@@ -312,9 +308,11 @@
         {
           onHead: (head, flow) => {
             cancelSilenceTimeout();
-            crashGuard.recordAnswer();
-            if (isSuccess(head.status) && head.framed)
-              Object.assign(request, { sinceBegun: startMonotonicStopwatch(clock) });
+            crashGuard.recordAnswer(state.entry, head, sinceSent);
+            if (isSuccess(head.status)) {
+              const sinceBegun = startMonotonicStopwatch(clock);
+              Object.assign(request, { begunAnswer: { framed: head.framed, sinceBegun } });
+            }
             recordLoad(state, head);
             if (head.notice) onNotice(state.entry, head.notice);
             sink.onHead(head, flow);
--- a/packages/serving/src/crashes.ts
+++ b/packages/serving/src/crashes.ts
@@ -3,7 +3,7 @@
 import type { Stopwatch } from '@bulrushspar/clock';
 import { createRefusal, REFUSAL } from '@bulrushspar/errors';
 import { createContentPart, type PromptPartTracker } from '@bulrushspar/routing';
-import type { Call } from './call.js';
+import type { AnswerHead, Call } from './call.js';
 
 /** The crashes that this host knows of, as far as they concern its requests. */
 export interface CrashGuard {
@@ -14,17 +14,26 @@
   check(call: Call, wasLost: boolean): void;
   /** Records that a server broke the connection of a request, or that its answer was incomplete. */
   recordLoss(call: Call, server: ServerEntry): void;
-  /** Records that a server has begun an answer. */
-  recordAnswer(): void;
+  /**
+   * Records that a server has begun an answer.
+   * @param sinceSent stopwatch started when the request was sent to the server
+   */
+  recordAnswer(server: ServerEntry, head: AnswerHead, sinceSent: Stopwatch): void;
   /** Records that this host could not connect to a server. */
   recordUnreachable(server: ServerEntry): void;
   /**
    * Clears a request and its prompt parts after it was served, as connections can be lost for reasons
    * other than a crash.
-   * @param sinceBegun stopwatch started when the server began the answer; undefined if its status or
-   *   its end does not show that the server has written all of it, so that nothing is cleared
    */
-  recordServed(call: Call, sinceBegun: Stopwatch | undefined): void;
+  recordServed(call: Call, server: ServerEntry, answer: BegunAnswer): void;
+}
+
+/** A successful answer that a server has begun. */
+export interface BegunAnswer {
+  /** Whether the answer marks its own end; otherwise it may be one that a crash has cut short. */
+  readonly framed: boolean;
+  /** Started when the server began the answer. */
+  readonly sinceBegun: Stopwatch;
 }
 
 /** Options of {@link createCrashGuard}. */
@@ -75,11 +84,14 @@
       // A server that is leaving closes its connections without a crash.
       if (!server.leaving) promptParts.recordLoss(server, listParts(call));
     },
-    recordAnswer: () => promptParts.recordAnswer(),
+    recordAnswer: (server, { misdirected }, sinceSent) => {
+      promptParts.recordAnswer();
+      if (!misdirected) promptParts.recordAlive(server, sinceSent);
+    },
     recordUnreachable: (server) => promptParts.recordUnreachable(server),
-    recordServed: (call, sinceBegun) => {
-      if (sinceBegun && !promptParts.isEmpty())
-        promptParts.recordServed(listParts(call), sinceBegun);
+    recordServed: (call, server, { framed, sinceBegun }) => {
+      if (!framed) promptParts.recordUnmarkedAnswer(server, listParts(call), sinceBegun);
+      else if (!promptParts.isEmpty()) promptParts.recordServed(listParts(call), sinceBegun);
     },
   };
 }
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -150,13 +150,13 @@
       sendCount: 0,
       possibleRunCount: 0,
       requiredVersion: undefined,
-      sinceBegun: undefined,
+      begunAnswer: undefined,
     };
     if (call.requirements) demand.recordRequests(call.requirements.model, 1);
     try {
       Object.assign(request, { requiredVersion: findRequiredVersion(call, admitted) });
       const state = await attemptRunner.run(request);
-      crashGuard.recordServed(call, request.sinceBegun);
+      if (request.begunAnswer) crashGuard.recordServed(call, state.entry, request.begunAnswer);
       logger.info('served', {
         request: call.id,
         server: state.entry.id,
