Recognise a repeated request by its workspace, not by the key that its caller used

Callers saw: a workspace that sends a request with another key than before gets it run again, although servers crashed under it. Cause: the fingerprint was made of path, key and body. It is made of path, workspace and body now; so it is taken after the admission, whose quota is returned where the request is refused.

--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -385,7 +385,7 @@
     servers.recordOutcome(state, true);
     const connectionLost = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
     const incomplete = status !== undefined && isSuccess(status);
-    if (connectionLost || incomplete) crashGuard.recordLoss(call, state.entry);
+    if (connectionLost || incomplete) crashGuard.recordLoss(request, state.entry);
     const isFinal = !mayRetry(request);
     Object.assign(request, { possibleRunCount: request.possibleRunCount + 1 });
     if (isFinal) throw createTargetFailedRefusal(error);
@@ -419,12 +419,12 @@
     try {
       // A request that waits or was lost may be blocked by crashes that came after its admission.
       const wasLost = request.possibleRunCount > 0;
-      if (wasLost) crashGuard.check(request.call, wasLost);
+      if (wasLost) crashGuard.check(request, wasLost);
       const state = await prepareServer(request);
       // A first run that begins now might not end before this host does; another host can begin it.
       const stopping = request.possibleRunCount === 0 ? getStoppingRefusal() : undefined;
       if (stopping) throw stopping;
-      crashGuard.check(request.call, wasLost);
+      crashGuard.check(request, wasLost);
       chargeRetryBudget(request, lastError);
       return state;
     } catch (error) {
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -30,8 +30,11 @@
   readonly lastEventId?: string;
   /** Id of the caller's attempt that received the first event of an interrupted answer. */
   readonly resumes?: string;
-  /** @returns a hash that is equal for requests with the same content */
-  fingerprint(): string;
+  /**
+   * @param caller name of the caller's workspace; unlike its keys it stays the same
+   * @returns a hash that is equal for requests of the same caller with the same content
+   */
+  fingerprint(caller: string): string;
 }
 
 /** One attempt to run a request on a server. */
--- a/packages/serving/src/crashes.ts
+++ b/packages/serving/src/crashes.ts
@@ -3,17 +3,24 @@
 import type { Stopwatch } from '@bulrushspar/clock';
 import { createRefusal, REFUSAL } from '@bulrushspar/errors';
 import { createContentPart, type PromptPartTracker } from '@bulrushspar/routing';
+import type { AdmittedRequest } from './admit.js';
 import type { AnswerHead, Call } from './call.js';
 
+/** A request as far as the guard looks at it. */
+export interface GuardedRequest {
+  readonly call: Call;
+  readonly admitted: Pick<AdmittedRequest, 'workspace'>;
+}
+
 /** The crashes that this host knows of, as far as they concern its requests. */
 export interface CrashGuard {
   /**
    * Throws the refusal of a request that may crash the server that it is sent to next.
    * @param wasLost a server that ran the request may have crashed, and it has not been answered since
    */
-  check(call: Call, wasLost: boolean): void;
+  check(request: GuardedRequest, wasLost: boolean): void;
   /** Records that a server broke the connection of a request, or that its answer was incomplete. */
-  recordLoss(call: Call, server: ServerEntry): void;
+  recordLoss(request: GuardedRequest, server: ServerEntry): void;
   /**
    * Records that a server has begun an answer.
    * @param sinceSent stopwatch started when the request was sent to the server
@@ -25,7 +32,7 @@
    * Clears a request and its prompt parts after it was served, as connections can be lost for reasons
    * other than a crash.
    */
-  recordServed(call: Call, server: ServerEntry, answer: BegunAnswer): void;
+  recordServed(request: GuardedRequest, server: ServerEntry, answer: BegunAnswer): void;
 }
 
 /** A successful answer that a server has begun. */
@@ -48,31 +55,35 @@
 const MIN_CRASHES_OF_LOST_REQUEST = 2;
 
 /** Prompt parts that other requests may share; the last one belongs to the request alone. */
-const listSharedParts = ({ requirements }: Call): readonly string[] =>
-  requirements?.promptParts.slice(0, -1).map(({ id }) => id) ?? [];
+const listSharedParts = ({ call }: GuardedRequest): readonly string[] =>
+  call.requirements?.promptParts.slice(0, -1).map(({ id }) => id) ?? [];
 
-const getContentPart = (call: Call): string => createContentPart(call.fingerprint());
+const getContentPart = ({ call, admitted }: GuardedRequest): string =>
+  createContentPart(call.fingerprint(admitted.workspace?.name ?? ''));
 
-const listParts = (call: Call): readonly string[] => [
-  ...listSharedParts(call),
-  getContentPart(call),
+const listParts = (request: GuardedRequest): readonly string[] => [
+  ...listSharedParts(request),
+  getContentPart(request),
 ];
 
 /** Creates the guard of one host. */
 export function createCrashGuard({ promptParts }: CrashGuardOptions): CrashGuard {
-  const findBlocked = (call: Call, wasLost: boolean): readonly string[] | undefined => {
+  const findBlocked = (
+    request: GuardedRequest,
+    wasLost: boolean,
+  ): readonly string[] | undefined => {
     if (promptParts.isEmpty()) return undefined;
-    const content = getContentPart(call);
+    const content = getContentPart(request);
     if (wasLost && promptParts.countCrashes(content) >= MIN_CRASHES_OF_LOST_REQUEST)
       return [content];
-    const blocked = promptParts.findBlocked(listParts(call));
+    const blocked = promptParts.findBlocked(listParts(request));
     if (blocked || !(wasLost || promptParts.isSuspected(content))) return blocked;
-    return promptParts.findBlocked(listSharedParts(call), MIN_CRASHES_OF_LOST_REQUEST);
+    return promptParts.findBlocked(listSharedParts(request), MIN_CRASHES_OF_LOST_REQUEST);
   };
 
   return {
-    check: (call, wasLost) => {
-      const blocked = findBlocked(call, wasLost);
+    check: (request, wasLost) => {
+      const blocked = findBlocked(request, wasLost);
       if (!blocked) return;
       throw createRefusal({
         status: 503,
@@ -80,18 +91,18 @@
         message: `the request is blocked because several servers crashed while running ${blocked.join(', ')}`,
       });
     },
-    recordLoss: (call, server) => {
+    recordLoss: (request, server) => {
       // A server that is leaving closes its connections without a crash.
-      if (!server.leaving) promptParts.recordLoss(server, listParts(call));
+      if (!server.leaving) promptParts.recordLoss(server, listParts(request));
     },
     recordAnswer: (server, { misdirected }, sinceSent) => {
       promptParts.recordAnswer();
       if (!misdirected) promptParts.recordAlive(server, sinceSent);
     },
     recordUnreachable: (server) => promptParts.recordUnreachable(server),
-    recordServed: (call, server, { framed, sinceBegun }) => {
-      if (!framed) promptParts.recordUnmarkedAnswer(server, listParts(call), sinceBegun);
-      else if (!promptParts.isEmpty()) promptParts.recordServed(listParts(call), sinceBegun);
+    recordServed: (request, server, { framed, sinceBegun }) => {
+      if (!framed) promptParts.recordUnmarkedAnswer(server, listParts(request), sinceBegun);
+      else if (!promptParts.isEmpty()) promptParts.recordServed(listParts(request), sinceBegun);
     },
   };
 }
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -86,8 +86,14 @@
   const admit = (call: SomeCall): AdmittedRequest => {
     const refusal = getStoppingRefusal();
     if (refusal) throw refusal;
-    crashGuard.check(call, false);
-    return admission.admit(call);
+    const admitted = admission.admit(call);
+    try {
+      crashGuard.check({ call, admitted }, false);
+    } catch (error) {
+      admitted.refund();
+      throw error;
+    }
+    return admitted;
   };
 
   /** Creates a signal that aborts the request at its deadline or when its caller disconnects. */
@@ -156,7 +162,7 @@
     try {
       Object.assign(request, { requiredVersion: findRequiredVersion(call, admitted) });
       const state = await attemptRunner.run(request);
-      if (request.begunAnswer) crashGuard.recordServed(call, state.entry, request.begunAnswer);
+      if (request.begunAnswer) crashGuard.recordServed(request, state.entry, request.begunAnswer);
       logger.info('served', {
         request: call.id,
         server: state.entry.id,
--- a/packages/serving/test/repeats.feature
+++ b/packages/serving/test/repeats.feature
@@ -21,6 +21,22 @@
       | resumable | crash after an event                                    |
       | resumable | end an answer without length inside an event and crash  |
 
+  # Guards against a request that looks like another one after its workspace has got another key.
+  Scenario: A request is stopped although the keys of its workspace change
+    Given 10 servers, 2 hosts and a stream route
+    And servers that receive the request and crash before an answer
+    When it arrives 24 times, each time with another key of workspace "w"
+    Then at most 3 servers have received it
+    And the last one gets 503 without retry-after
+
+  # Guards against a workspace whose requests are refused because another one's crash servers.
+  Scenario: A request of another workspace with the same content is served
+    Given 10 servers, 2 hosts and a stream route
+    And servers that receive the request and crash before an answer, crash before an answer, crash before an answer, answer
+    When it arrives 12 times, each time with another key of workspace "w"
+    And it arrives 1 time with the key of workspace "v"
+    Then the last one gets the answer
+
   # Guards against crashes that are forgotten because an answer looks whole that only the crash has ended.
   Scenario Outline: A request is stopped although the answers look whole
     Given 10 servers, 2 hosts and a <kind> route
--- a/packages/serving/test/repeats.ts
+++ b/packages/serving/test/repeats.ts
@@ -39,6 +39,10 @@
 const RUN_MILLISECONDS = 30;
 const PROBE_MILLISECONDS = [100, 400, 1000];
 const flow = { pause: () => {}, resume: () => {} };
+const WORKSPACES = ['v', 'w'].map((name) => ({
+  name,
+  keys: Array.from({ length: 24 }, (_none, index) => `${name}-${index}`),
+}));
 const ROUTES = {
   once: { kind: 'once', attempts: 1, resumable: false },
   stream: { kind: 'stream', attempts: 1, resumable: false },
@@ -129,8 +133,9 @@
       const promptParts = createTracker(this, index);
       this.trackers.push(promptParts);
       const send = createSend(this);
-      const route = ROUTES[kind];
-      this.hosts.push(createTestHost({ clock, servers, promptParts, send, route }));
+      const route = { ...ROUTES[kind], open: false };
+      const workspaces = WORKSPACES;
+      this.hosts.push(createTestHost({ clock, servers, promptParts, send, route, workspaces }));
     }
   },
 );
@@ -142,10 +147,11 @@
   },
 );
 
-const createCall = (id: string): Call => ({
+const createCall = (id: string, key?: string): Call => ({
   id,
   host: 'example',
   path: '/r/1',
+  ...(key === undefined ? {} : { key }),
   requirements: {
     model: MODEL,
     promptParts: [
@@ -153,22 +159,40 @@
       { id, tokens: 10 },
     ],
   },
-  fingerprint: () => id,
+  fingerprint: (caller) => `${caller} ${id}`,
 });
 
-When('it arrives {int} times', async function arrive(this: RepeatsWorld, times: number) {
-  const { clock, hosts, answers } = this;
+async function arrive(
+  { clock, hosts, answers }: RepeatsWorld,
+  times: number,
+  getKey: (index: number) => string = () => 'w-0',
+): Promise<void> {
   for (let index = 0; index < times; index += 1) {
     const { handler } = hosts[index % hosts.length]!;
     const answer = createAnswer();
     answers.push(answer);
-    handler(createCall('call'), createReply(answer)).catch(assert.fail);
+    handler(createCall('call', getKey(index)), createReply(answer)).catch(assert.fail);
     /* eslint-disable no-await-in-loop -- each arrival follows the previous one */
     await advance(clock, ARRIVAL_MILLISECONDS / 2);
-    handler(createCall(OTHER_CALL), createReply(createAnswer())).catch(assert.fail);
+    handler(createCall(OTHER_CALL, 'w-0'), createReply(createAnswer())).catch(assert.fail);
     await advance(clock, ARRIVAL_MILLISECONDS / 2);
     /* eslint-enable no-await-in-loop */
   }
+}
+
+When('it arrives {int} times', async function play(this: RepeatsWorld, times: number) {
+  await arrive(this, times);
+});
+
+When(
+  'it arrives {int} times, each time with another key of workspace "w"',
+  async function play(this: RepeatsWorld, times: number) {
+    await arrive(this, times, (index) => `w-${index}`);
+  },
+);
+
+When('it arrives 1 time with the key of workspace "v"', async function play(this: RepeatsWorld) {
+  await arrive(this, 1, () => 'v-0');
 });
 
 Then('at most {int} servers have received it', function check(this: RepeatsWorld, most: number) {
