Model nodes: count a crash under a stream that the engine ends in order

Callers saw: a request that crashes engines is sent to one after another if they end its stream before they crash, without the last event.

Evidence: node/crash 'although the engines end its streams' failed before (4 crashes instead of 2).

--- a/packages/gateway/src/isolation.ts
+++ b/packages/gateway/src/isolation.ts
@@ -1,7 +1,7 @@
 /** Limits how many servers a request that crashes its server can bring down. */
 import { createHash } from 'node:crypto';
 import type { Stopwatch } from '@bulrushspar/clock';
-import { createRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
+import { createRefusal, isRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
 import type { TurnQueue } from '@bulrushspar/placement';
 import { isStoreError } from '@bulrushspar/store';
 import type { SuspectTracker } from '@bulrushspar/routing';
@@ -86,6 +86,10 @@
   error.fault === EXCHANGE_FAULT.CUT &&
   error.progress !== EXCHANGE_PROGRESS.NOT_SENT;
 
+/** A server that crashes may end its stream in order, without the last event. */
+const isAnswerIncomplete = (error: unknown): boolean =>
+  isRefusal(error) && error.refusal.code === REFUSAL.ANSWER_CUT;
+
 /** Creates the function with which one host creates the crash guards of its requests. */
 export function createCrashGuardFactory(options: CrashGuardOptions): CreateCrashGuard {
   const { registry, suspects, getTurnQueue } = options;
@@ -139,7 +143,7 @@
         throw createCrashesServersRefusal();
       },
       detectCrash: async (server, error, sinceSent) => {
-        if (!isConnectionCut(error)) return;
+        if (!isConnectionCut(error) && !isAnswerIncomplete(error)) return;
         if (!(await hasCrashed(server, model))) return;
         suspects.recordCrash(getFingerprint(), server.name, sinceSent);
         context.tracer.addStep('crashed', server.name);
--- a/packages/node/test/crash.feature
+++ b/packages/node/test/crash.feature
@@ -1,3 +1,4 @@
+@node-crash
 Feature: A request that crashes each server that runs it
 
   Scenario: It is refused after the second crash, and concurrent requests are served
@@ -14,6 +15,14 @@
     Then each of them is refused as "crashes_servers" and did not run
     And the engines crashed 2 times
 
+  # Guards against a request that crashes engine after engine, because they end its streams in order.
+  Scenario: It is refused although the engines end its streams before they crash
+    Given 3 nodes and 3 engines that answer "crash-after-end" to a request with "poison"
+    When node 1 gets the "poison" as a stream
+    And node 2 gets the "poison" as a stream, and node 3, and node 1
+    Then the engines crashed 2 times
+    And the last of them is refused as "crashes_servers" and did not run
+
   Scenario: A restarted host receives the suspects of the other hosts
     Given 3 nodes and 3 engines that a request with "poison" crashes
     When node 1 gets the "poison"
--- a/packages/node/test/crash.ts
+++ b/packages/node/test/crash.ts
@@ -54,6 +54,18 @@
   },
 );
 
+Given(
+  '3 nodes and 3 engines that answer {string} to a request with {string}',
+  async function start(this: CrashWorld, fault: string, word: string) {
+    await startCrashFleet(this, (prompt) =>
+      prompt.includes(word) ? (fault as EngineFault) : undefined,
+    );
+  },
+);
+
+const streamPrompt = ({ fleet }: CrashWorld, node: number, prompt: string) =>
+  requestChat(fleet.nodes[node]!.url, { model: MODEL, prompt, tokens: 4 });
+
 const sendPrompt = ({ fleet }: CrashWorld, node: number, prompt: string): Promise<CallerAnswer> =>
   requestChat(fleet.nodes[node]!.url, { model: MODEL, prompt, tokens: 100, stream: false });
 
@@ -106,6 +118,18 @@
   },
 );
 
+When('node 1 gets the {string} as a stream', async function send(this: CrashWorld, word: string) {
+  this.answer = await streamPrompt(this, 0, word);
+});
+
+When(
+  'node 2 gets the {string} as a stream, and node 3, and node 1',
+  async function send(this: CrashWorld, word: string) {
+    // eslint-disable-next-line no-await-in-loop -- the caller tries one host after another
+    for (const node of [1, 2, 0]) this.retriedAnswers.push(await streamPrompt(this, node, word));
+  },
+);
+
 When('node 2 gets the {string} again', async function send(this: CrashWorld, word: string) {
   this.retriedAnswers.push(await sendPrompt(this, 1, word));
 });
@@ -160,6 +184,14 @@
   },
 );
 
+Then(
+  'the last of them is refused as {string} and did not run',
+  function check(this: CrashWorld, code: string) {
+    const { code: lastCode, ran, text } = this.retriedAnswers.at(-1)!;
+    assert.deepEqual({ code: lastCode, ran }, { code, ran: false }, text);
+  },
+);
+
 Then('that one is served', function check(this: CrashWorld) {
   const answer = this.retriedAnswers.at(-1)!;
   assert.ok(answer.isComplete, answer.text);
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -33,6 +33,8 @@
   SILENT: 'silent',
   /** Simulates a crash and a restart: aborts all open requests and unloads all models. */
   CRASH: 'crash',
+  /** Like {@link ENGINE_FAULT.CRASH} for a stream, which the engine ends in order before it crashes. */
+  CRASH_AFTER_END: 'crash-after-end',
   /** Responds with the `x-request-id` of another request. */
   CROSSED: 'crossed',
   /** Ends the stream without the final `[DONE]` event. */
@@ -241,6 +243,10 @@
       const choices = [{ index: 0, delta: { content: `${words[index]} ` } }];
       response.write(`data: ${JSON.stringify({ id, choices })}\n\n`);
     }
+    if (fault === ENGINE_FAULT.CRASH_AFTER_END) {
+      response.end(crash);
+      return;
+    }
     response.write(`data: ${JSON.stringify({ id, choices: [], usage })}\n\n`);
     response.end(fault === ENGINE_FAULT.ENDS_EARLY ? '' : 'data: [DONE]\n\n');
   };
