Refuse requests for models of limited servers as soon as no other server gets them

Callers would see: a request for a model that only limited servers hold waits for a place again and again, until it is given up. Cause: such a wait ended whenever the server had a free place, though others took it first, and began anew. Now it ends only when a server without a limit holds the model; where all servers are limited, a request waits once and is refused with the time of the next place.

serving/limits 'only a limited server holds': the row with limits on all servers failed before.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,6 +26,7 @@
   type Call,
   type SendCall,
   type RequestHandler,
+  type ServerState,
   type ServerNotice,
 } from '@bulrushspar/serving';
 import {
@@ -209,11 +210,19 @@
     },
   });
 
-  const isLoaded = (model: string): boolean =>
-    [...servers.all()].some(
-      (state) =>
-        servers.canServeModel(state, model) && limits.millisecondsUntilFree(state.entry.id) === 0,
+  /** Whether requests need not wait for a load of the model; the leader plans loads by the same rule. */
+  const isLoaded = (model: string): boolean => {
+    const holders = [...servers.all()].filter((state) => servers.canServeModel(state, model));
+    const isUnlimited = ({ entry }: ServerState): boolean => limits.limitOf(entry.id) === undefined;
+    if (holders.some(isUnlimited)) return true;
+    return holders.some(
+      ({ entry }) =>
+        limits.millisecondsUntilFree(entry.id) === 0 &&
+        !servers
+          .ofService(entry.service)
+          .some((state) => !state.entry.leaving && isUnlimited(state)),
     );
+  };
   const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -49,6 +49,8 @@
   sendCount: number;
   /** Number of servers that may have run the request. */
   possibleRunCount: number;
+  /** Whether it has waited for the load of a model although servers hold it, as they are limited. */
+  hasAwaitedLimit: boolean;
   /** Software version at which the stream must go on, once it has begun. */
   requiredVersion: string | undefined;
   /** Successful answer that the server of the last attempt has begun. */
@@ -178,6 +180,9 @@
     const maxMilliseconds = getMaxLimitMilliseconds(request);
     if (holders.some(({ entry }) => limits.millisecondsUntilFree(entry.id) <= maxMilliseconds))
       return;
+    if (holders.length > 0 && request.hasAwaitedLimit)
+      throw createServersLimitedRefusal(admitted.service, limitedMilliseconds(request) ?? 0);
+    Object.assign(request, { hasAwaitedLimit: holders.length > 0 });
     // Loads are not planned by version, so that a wait might never end.
     if (request.requiredVersion !== undefined) {
       const limited = limitedMilliseconds(request);
--- a/packages/serving/test/limits.feature
+++ b/packages/serving/test/limits.feature
@@ -33,6 +33,19 @@
     When one host gets 10 requests a second for 8 s, while the scheduling host is running
     Then each refused request was refused within 600 ms and told to come back within 2000 ms
 
+  # Guards against requests that wait for a server's limit until they are given up.
+  Scenario Outline: Requests for a model that only a limited server holds are refused at once
+    Given 2 hosts and a server that names a limit of 1 a second
+    And the leader <reports> for its model
+    When one host gets 10 requests a second for 8 s, while the scheduling host is running
+    Then each refused request was refused within 1100 ms and told to come back within 2000 ms
+    And it receives at least 8 requests
+
+    Examples:
+      | reports                                           |
+      | finds no server                                   |
+      | reports that it is ready, as all servers have one |
+
   Scenario: Requests are sent to a server without a limit where there is one
     Given 8 hosts and a server that names a limit of 1 a second, beside one without
     When each host gets 5 requests a second for 12 s, while the scheduling host is running
--- a/packages/serving/test/limits.ts
+++ b/packages/serving/test/limits.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock, startMonotonicStopwatch, type ManualClock } from '@bulrushspar/clock';
+import type { Outlook } from '@bulrushspar/loading';
 import { createPromptPartTracker } from '@bulrushspar/routing';
 import {
   createServerLimits,
@@ -23,6 +24,7 @@
   createServers,
   createTestHost,
   describeAnswer,
+  MODEL,
   type TestAnswer,
   type TestHost,
   type TestServer,
@@ -47,11 +49,14 @@
   receivedAt: number[];
   namedAt: number | undefined;
   answers: TimedAnswer[];
+  /** What the leader reports on the model that requests need; undefined if they need none. */
+  outlook: Outlook | undefined;
 }
 
 const MESSAGE_MILLISECONDS = 10;
 const RUN_MILLISECONDS = 50;
 const STEP_MILLISECONDS = 10;
+const OUTLOOK_MILLISECONDS = 100;
 const SECOND_MILLISECONDS = 1000;
 const LOST_MESSAGE_MILLISECONDS = 300;
 const WINDOW_MILLISECONDS = 4000;
@@ -131,6 +136,7 @@
     const schedule = createSendSchedule({ clock });
     Object.assign(this, { clock, servers, schedule, hosts: [], limits: [], receivedAt: [] });
     Object.assign(this, { answers: [], limit: Number(limit), namedAt: undefined });
+    Object.assign(this, { outlook: undefined });
     const promptParts = createPromptPartTracker({ clock });
     const send = createSend(this);
     for (let index = 0; index < Number(hostCount); index += 1) {
@@ -141,14 +147,23 @@
   },
 );
 
+Given(
+  /^the leader (finds no server|reports that it is ready, as all servers have one) for its model$/,
+  function report(this: LimitWorld, reports: string) {
+    const readyMilliseconds = reports === 'finds no server' ? {} : { readyMilliseconds: 0 };
+    this.outlook = { model: MODEL, ...readyMilliseconds };
+  },
+);
+
 function arrive(world: LimitWorld, host: TestHost): void {
-  const { clock, answers } = world;
+  const { clock, answers, outlook } = world;
   const answer = { ...createAnswer(), arrivedAt: clock.monotonic(), milliseconds: NaN };
   answers.push(answer);
   const call: Call = {
     id: `call-${answers.length}`,
     host: 'example',
     path: '/r/1',
+    ...(outlook ? { requirements: { model: MODEL, promptParts: [] } } : {}),
     fingerprint: () => String(answers.length),
   };
   host
@@ -164,18 +179,24 @@
   perSecond: number,
   seconds: number,
 ): Promise<void> {
-  const { clock } = world;
+  const { clock, outlook } = world;
   const intervalMilliseconds = SECOND_MILLISECONDS / (perSecond * hosts.length);
   let sent = 0;
-  for (let at = 0; at < seconds * SECOND_MILLISECONDS; at += STEP_MILLISECONDS) {
-    while (sent * intervalMilliseconds <= at) {
+  const endMilliseconds = seconds * SECOND_MILLISECONDS;
+  const stopMilliseconds = endMilliseconds + ROUTE.timeoutMilliseconds;
+  for (let at = 0; at < stopMilliseconds; at += STEP_MILLISECONDS) {
+    while (at < endMilliseconds && sent * intervalMilliseconds <= at) {
       arrive(world, hosts[sent % hosts.length]!);
       sent += 1;
     }
+    if (outlook && at % OUTLOOK_MILLISECONDS === 0)
+      hosts.forEach(({ waits }) => {
+        waits.applyOutlook([outlook]);
+        if (outlook.readyMilliseconds === 0) waits.endReadyWaits(() => true);
+      });
     // eslint-disable-next-line no-await-in-loop -- each step starts after the previous one
     await advance(clock, STEP_MILLISECONDS);
   }
-  await advance(clock, 2 * SECOND_MILLISECONDS);
 }
 
 const SCHEDULING: Readonly<Record<string, (world: LimitWorld) => void>> = {
