Refuse requests at once whose model only limited servers hold, where no other can load it

With requests that may take 6 s, and waits that end as in the host, it fails on and on (a request was refused after 5.3 s): new requests took each free place, so that the waiting ones saw none.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -212,15 +212,12 @@
 
   /** Whether requests need not wait for a load of the model; the leader plans loads by the same rule. */
   const isLoaded = (model: string): boolean => {
-    const holders = [...servers.all()].filter((state) => servers.canServeModel(state, model));
-    const isUnlimited = ({ entry }: ServerState): boolean => limits.limitOf(entry.id) === undefined;
-    if (holders.some(isUnlimited)) return true;
-    return holders.some(
-      ({ entry }) =>
-        limits.millisecondsUntilFree(entry.id) === 0 &&
-        !servers
-          .ofService(entry.service)
-          .some((state) => !state.entry.leaving && isUnlimited(state)),
+    const isLimited = ({ entry }: ServerState): boolean =>
+      entry.leaving || limits.limitOf(entry.id) !== undefined;
+    return [...servers.all()].some(
+      (state) =>
+        servers.canServeModel(state, model) &&
+        (!isLimited(state) || servers.ofService(state.entry.service).every(isLimited)),
     );
   };
   const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -49,8 +49,6 @@
   sendCount: number;
   /** Number of servers that may have run the request. */
   possibleRunCount: number;
-  /** Whether it has waited for the load of a model although servers hold it, as they are limited. */
-  hasAwaitedLimit: boolean;
   /** Software version at which the stream must go on, once it has begun. */
   requiredVersion: string | undefined;
   /** Successful answer that the server of the last attempt has begun. */
@@ -128,6 +126,9 @@
   const getMaxLimitMilliseconds = ({ admitted, remainingMilliseconds }: ActiveRequest<SomeCall>) =>
     Math.min(remainingMilliseconds() / 2, admitted.route.objectiveMilliseconds);
 
+  const isLimited = ({ entry }: ServerState): boolean =>
+    entry.leaving || limits.limitOf(entry.id) !== undefined;
+
   /** Servers of the request's service; for a stream that has begun only those of its version. */
   const listServers = ({
     admitted,
@@ -180,9 +181,9 @@
     const maxMilliseconds = getMaxLimitMilliseconds(request);
     if (holders.some(({ entry }) => limits.millisecondsUntilFree(entry.id) <= maxMilliseconds))
       return;
-    if (holders.length > 0 && request.hasAwaitedLimit)
+    // Only a server without a limit gets another replica.
+    if (holders.length > 0 && servers.ofService(admitted.service).every(isLimited))
       throw createServersLimitedRefusal(admitted.service, limitedMilliseconds(request) ?? 0);
-    Object.assign(request, { hasAwaitedLimit: holders.length > 0 });
     // Loads are not planned by version, so that a wait might never end.
     if (request.requiredVersion !== undefined) {
       const limited = limitedMilliseconds(request);
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -155,7 +155,6 @@
       triedServers: new Set(),
       sendCount: 0,
       possibleRunCount: 0,
-      hasAwaitedLimit: false,
       requiredVersion: undefined,
       begunAnswer: undefined,
     };
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -57,8 +57,8 @@
   readonly workspaces?: readonly Workspace[];
   /** Limits that servers have named; created for this host by default. */
   readonly limits?: ServerLimits;
-  /** Whether the servers hold the model. */
-  readonly isLoaded?: () => boolean;
+  /** Whether a server holds the model. */
+  readonly isLoaded?: (server: TestServer) => boolean;
 }
 
 /** The model that the servers hold. */
@@ -118,12 +118,14 @@
   const streams = createStreamVersions({ clock });
   const waits = createModelWaits({ clock });
   const updateServers = (): void => {
-    const entries = new Map(servers.map((server) => [server.id, createEntry(server, isLoaded())]));
+    const entries = new Map(
+      servers.map((server) => [server.id, createEntry(server, isLoaded(server))]),
+    );
     states.update(entries);
     limits.updateServers(entries);
     streams.updateServers(entries);
     promptParts.updateServers(entries);
-    waits.endReadyWaits(isLoaded);
+    waits.endReadyWaits(() => servers.some(isLoaded));
   };
   updateServers();
   const bucket = createReplicatedBucket({
--- a/packages/serving/test/limits.feature
+++ b/packages/serving/test/limits.feature
@@ -1,7 +1,7 @@
 @serving-limits
 Feature: Servers that name a limit on the requests of all hosts
   Hosts tell each other of limits within 20 ms and ask one of them for each request that they send to a
-  server with a limit. Requests may take 500 ms, and are given up after 2 s.
+  server with a limit. Requests may take 500 ms, and are given up after 6 s.
 
   # Guards against hosts that together send a server more requests than the limit that it has named.
   Scenario Outline: A server receives its limit in total, wherever the requests come in
@@ -35,16 +35,16 @@
 
   # Guards against requests that wait for a server's limit until they are given up.
   Scenario Outline: Requests for a model that only a limited server holds are refused at once
-    Given 2 hosts and a server that names a limit of 1 a second
+    Given 2 hosts and a server that names a limit of 1 a second<beside>
     And the leader <reports> for its model
     When one host gets 10 requests a second for 8 s, while the scheduling host is running
     Then each refused request was refused within 1100 ms and told to come back within 2000 ms
     And it receives at least 8 requests
 
     Examples:
-      | reports                                           |
-      | finds no server                                   |
-      | reports that it is ready, as all servers have one |
+      | beside                                 | reports                                           |
+      |                                        | reports that it is ready, as all servers have one |
+      | , beside one that has no room for more | finds no server                                   |
 
   Scenario: Requests are sent to a server without a limit where there is one
     Given 8 hosts and a server that names a limit of 1 a second, beside one without
--- a/packages/serving/test/limits.ts
+++ b/packages/serving/test/limits.ts
@@ -62,12 +62,13 @@
 const WINDOW_MILLISECONDS = 4000;
 const CONTACT_MILLISECONDS = 3000;
 const flow = { pause: () => {}, resume: () => {} };
+const NO_ROOM = ', beside one that has no room for more';
 const ROUTE = {
   kind: 'once',
   attempts: 1,
   resumable: false,
   objectiveMilliseconds: 500,
-  timeoutMilliseconds: 2000,
+  timeoutMilliseconds: 6000,
 } as const;
 
 const createSend =
@@ -129,10 +130,11 @@
 }
 
 Given(
-  /^(\d+) hosts and a server that names a limit of ([\d.]+) a second(, beside one without)?$/,
+  /^(\d+) hosts and a server that names a limit of ([\d.]+) a second(, beside one without|, beside one that has no room for more)?$/,
   function create(this: LimitWorld, hostCount: string, limit: string, other: string | null) {
     const clock = createManualClock();
     const servers = createServers(other ? 2 : 1);
+    const holdsModel = ({ id }: TestServer): boolean => other !== NO_ROOM || id === servers[0]!.id;
     const schedule = createSendSchedule({ clock });
     Object.assign(this, { clock, servers, schedule, hosts: [], limits: [], receivedAt: [] });
     Object.assign(this, { answers: [], limit: Number(limit), namedAt: undefined });
@@ -142,7 +144,17 @@
     for (let index = 0; index < Number(hostCount); index += 1) {
       const limits = createLimits(this, index, Number(hostCount));
       this.limits.push(limits);
-      this.hosts.push(createTestHost({ clock, servers, promptParts, limits, send, route: ROUTE }));
+      this.hosts.push(
+        createTestHost({
+          clock,
+          servers,
+          promptParts,
+          limits,
+          send,
+          route: ROUTE,
+          isLoaded: holdsModel,
+        }),
+      );
     }
   },
 );
@@ -190,10 +202,7 @@
       sent += 1;
     }
     if (outlook && at % OUTLOOK_MILLISECONDS === 0)
-      hosts.forEach(({ waits }) => {
-        waits.applyOutlook([outlook]);
-        if (outlook.readyMilliseconds === 0) waits.endReadyWaits(() => true);
-      });
+      hosts.forEach(({ waits }) => waits.applyOutlook([outlook]));
     // eslint-disable-next-line no-await-in-loop -- each step starts after the previous one
     await advance(clock, STEP_MILLISECONDS);
   }
