Take a stream without length or event as broken off

Callers saw: a server that crashes before its first event, and ends its answer in order, gave them an empty stream as a whole one; it was neither sent to another server nor counted as a loss (same class as BUDGET). Two rows of serving/serve failed before. A stream that is taken up after its last event may still be empty.

--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -160,6 +160,14 @@
     writer.writeHead(head.status, head.headers, head.framed);
   };
 
+  /** Only the end of its connection marks the end of such a stream, so that it may be a crash. */
+  const isEndedBeforeFirstEvent = (): boolean =>
+    head !== undefined &&
+    isSuccess(head.status) &&
+    !head.framed &&
+    bodyBytes === 0 &&
+    options.lastEventId === undefined;
+
   const writeChunk = (chunk: Buffer): void => {
     writeHead();
     bodyBytes += chunk.length;
@@ -197,7 +205,8 @@
     lastEventId: () => lastEventId,
     close: () => {},
     finish: () => {
-      if (pendingBytes > 0 || scanner?.isInsideEvent()) throw options.createIncompleteError(head!);
+      if (pendingBytes > 0 || scanner?.isInsideEvent() || isEndedBeforeFirstEvent())
+        throw options.createIncompleteError(head!);
       checkEnd(head!, bodyBytes);
       writeHead();
       writer.end();
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -45,6 +45,12 @@
       | stream    | stream up to 3.5 and end            | events 123!       | 1     |
       | stream    | fail                                | 500               | 1     |
 
+    # Guards against streams without any event that callers take for whole ones.
+    Examples: streams without length that end before their first event
+      | kind      | behave                             | answer           | sends |
+      | stream    | end without length or event        | 502              | 1     |
+      | resumable | end without length or event, stream | events 12345 end | 2     |
+
   # Guards against a host whose memory is used up by answers and events that never end.
   Scenario Outline: A server sends bytes without end
     Given a <kind> route
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -184,6 +184,7 @@
   } else if (behaviour === 'answer and leave')
     sink.onHead(head({ notice: { isLeaving: true } }), flow);
   else if (behaviour === 'reject') sink.onHead(head({ status: 503, notRun: true }), flow);
+  else if (behaviour === 'end without length or event') sink.onHead(head({ framed: false }), flow);
   else if (behaviour === 'answer another request') sink.onHead(head({ callId: 'call-0' }), flow);
   else if (behaviour === 'answer unsigned') sink.onHead(head({ signed: false }), flow);
   else sink.onHead(head({ status: behaviour === 'fail' ? 500 : 200 }), flow);
