--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -3,7 +3,8 @@
  * request counts as a part of its own, which only the same request holds.
  */
 import type { Clock, Stopwatch } from '@bulrushspar/clock';
-import { groupCandidates, type Candidate, type CandidateGroup } from './candidates.js';
+import type { Candidate } from './candidates.js';
+import { createBlockedGroups } from './groups.js';
 import { createLossRecord, type Losses } from './losses.js';
 import { createUnmarkedAnswers } from './unmarked.js';
 
@@ -115,8 +116,6 @@
 const SERVED_RETENTION_MILLISECONDS = 60_000;
 /** Answers to a part that began within this time of each other are told as one. */
 const SAME_ANSWER_MILLISECONDS = 1000;
-/** Time after which the blocked parts are computed again, as crashes expire. */
-const GROUPS_LIFETIME_MILLISECONDS = 1000;
 const MAX_PROCESSES = 500;
 const CONTENT_PREFIX = 'content:';
 
@@ -132,12 +131,6 @@
   isUnreachable: boolean;
 }
 
-interface CachedGroups {
-  readonly version: number;
-  readonly at: number;
-  readonly groups: readonly CandidateGroup[];
-}
-
 /** Returns the part that stands for the content of a request. */
 export const createContentPart = (fingerprint: string): string => `${CONTENT_PREFIX}${fingerprint}`;
 
@@ -155,14 +148,11 @@
   const unmarkedAnswers = createUnmarkedAnswers(clock);
   /** When a server began the last answer that cleared a part. */
   const servedTimes = new Map<string, number>();
-  const groupsByMinCrashes = new Map<number, CachedGroups>();
-  let blockedGroups = new Map<string, readonly string[]>();
-  let version = 0;
 
   const forgetProcess = (process: string): void => {
     processes.delete(process);
     losses.forget(process);
-    version += 1;
+    blockedGroups.invalidate();
   };
 
   const removeExpired = (): void => {
@@ -188,40 +178,24 @@
   const isRecent = (part: string, lossesOfPart: Losses): boolean =>
     isContent(part) || clock.monotonic() - Math.max(...lossesOfPart.values()) <= blockMilliseconds;
 
-  const computeGroups = (minCrashes: number): readonly CandidateGroup[] => {
+  const listCandidates = (minCrashes: number): readonly Candidate[] => {
     removeExpired();
     const includesContents = minCrashes >= MIN_CRASHES;
-    const candidates = [...losses.entries()].flatMap(([part, lossesOfPart]) => {
+    return [...losses.entries()].flatMap(([part, lossesOfPart]) => {
       if (!includesContents && isContent(part)) return [];
       if (lossesOfPart.size < minCrashes || !isRecent(part, lossesOfPart)) return [];
       const candidate = createCandidate(part, lossesOfPart);
       return candidate.crashes.size < minCrashes ? [] : [candidate];
     });
-    return groupCandidates(candidates, minCrashes);
-  };
-
-  const getGroups = (minCrashes: number): readonly CandidateGroup[] => {
-    const now = clock.monotonic();
-    const cached = groupsByMinCrashes.get(minCrashes);
-    if (cached?.version === version && now - cached.at < GROUPS_LIFETIME_MILLISECONDS)
-      return cached.groups;
-    const groups = computeGroups(minCrashes);
-    groupsByMinCrashes.set(minCrashes, { version, at: now, groups });
-    return groups;
   };
 
-  const reportBlocked = (): void => {
-    const before = blockedGroups;
-    blockedGroups = new Map(
-      getGroups(MIN_CRASHES).map(({ parts }) => [[...parts].sort().join(), parts]),
-    );
-    blockedGroups.forEach((parts, key) => {
-      if (!before.has(key)) onBlocked(parts);
-    });
-    before.forEach((parts, key) => {
-      if (!blockedGroups.has(key)) onUnblocked(parts);
-    });
-  };
+  const blockedGroups = createBlockedGroups({
+    clock,
+    minCrashes: MIN_CRASHES,
+    listCandidates,
+    onBlocked,
+    onUnblocked,
+  });
 
   const recordProcess = (process: string, at: number): ProcessRecord => {
     const record = processes.get(process) ?? {
@@ -239,7 +213,7 @@
   const addLoss = (process: string, parts: readonly string[], at: number): readonly string[] => {
     const unserved = parts.filter((part) => (servedTimes.get(part) ?? -Infinity) < at);
     const added = losses.add(process, unserved, at);
-    if (added.length > 0) version += 1;
+    if (added.length > 0) blockedGroups.invalidate();
     return added;
   };
 
@@ -259,13 +233,13 @@
     const ended = takeEndedParts(process, clock.monotonic() - record.at);
     const added = addLoss(process, ended, record.at);
     Object.assign(record, { isConfirmed: true, isOwn: record.isOwn || added.length > 0 });
-    version += 1;
+    blockedGroups.invalidate();
     if (record.isOwn) {
       const update = createCrashUpdate(process, record);
       onCrash(process, update.parts);
       onUpdate(update);
     }
-    reportBlocked();
+    blockedGroups.report();
   };
 
   /** Marks servers that were lost at the same time, as happens when this host loses its own link. */
@@ -285,8 +259,8 @@
 
   /** Finds the blocked parts again after losses were removed or the score of a part has changed. */
   const refreshBlocked = (): void => {
-    version += 1;
-    reportBlocked();
+    blockedGroups.invalidate();
+    blockedGroups.report();
   };
 
   const recordLoss = (server: ServerProcess, parts: readonly string[]): void => {
@@ -301,7 +275,7 @@
       onLoss(server);
     } else if (added.length > 0) {
       onUpdate({ process, parts: added, age: 0 });
-      reportBlocked();
+      blockedGroups.report();
     }
   };
 
@@ -368,8 +342,9 @@
     findBlocked: (parts, minCrashes = MIN_CRASHES) => {
       if (processes.size < minCrashes) return undefined;
       const held = new Set(parts);
-      return getGroups(minCrashes).find((group) => group.parts.every((part) => held.has(part)))
-        ?.parts;
+      return blockedGroups
+        .list(minCrashes)
+        .find((group) => group.parts.every((part) => held.has(part)))?.parts;
     },
     applyUpdate: ({ process, parts, clearedProcesses, age }) => {
       const at = clock.monotonic() - age;
@@ -385,7 +360,7 @@
       }
       const record = recordProcess(process, at);
       const added = addLoss(process, parts, at);
-      if (record.isConfirmed) reportBlocked();
+      if (record.isConfirmed) blockedGroups.report();
       else confirm(process, record);
       return added.length > 0;
     },
