--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -505,7 +505,7 @@
     gossip.sendState(fleet.links.all());
   });
   const stopWantsReports = runPeriodically(clock, WANTS_INTERVAL_MILLISECONDS, () => {
-    // A server's limit may leave time again without a change of its entry.
+    // The limit of a server can end without a change of its entry.
     waits.endReadyWaits(isLoaded);
     sendWants();
   });
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,8 +1,7 @@
-/** Attempts of one request: selects servers, sends the request and handles failures. */
+/** Attempts of one request: sends it to servers and handles failures. */
 import { ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
-import { startMonotonicStopwatch, startStopwatch, type Clock } from '@bulrushspar/clock';
+import { startMonotonicStopwatch } from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
-import type { Logger } from '@bulrushspar/logging';
 import { sendUntilAnswered, type Relay } from '@bulrushspar/routing';
 import type { RetryBudget } from '@bulrushspar/shares';
 import { EXCHANGE_FAULT, isExchangeError, EXCHANGE_PROGRESS } from '@bulrushspar/targets';
@@ -17,22 +16,12 @@
   type SendCall,
   type ServerNotice,
 } from './call.js';
-import { selectServer, promptPartKey } from './choose.js';
+import { promptPartKey } from './choose.js';
 import type { BegunAnswer, CrashGuard } from './crashes.js';
-import type { ServerLimits } from './limits.js';
-import type { ServingMetrics } from './metrics.js';
-import type { ServerState, ServerStates } from './servers.js';
-import {
-  createTargetFailedRefusal,
-  createNoAdapterRefusal,
-  createNoServerRefusal,
-  createServersClosedRefusal,
-  createServersLimitedRefusal,
-  createVersionGoneRefusal,
-  createWaitRefusal,
-} from './refusals.js';
+import { createServerPreparation, type ServerPreparationOptions } from './prepare.js';
+import type { ServerState } from './servers.js';
+import { createTargetFailedRefusal, createNoServerRefusal } from './refusals.js';
 import type { StreamVersions } from './streams.js';
-import { WAIT_END, type ModelWaits } from './waits.js';
 
 /** An admitted request that has not been answered yet. */
 export interface ActiveRequest<SomeCall extends Call> {
@@ -67,24 +56,14 @@
 }
 
 /** Options of {@link createAttemptRunner}. */
-export interface AttemptRunnerOptions<SomeCall extends Call> {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: ServingMetrics;
-  readonly random: () => number;
-  readonly failureDomain: string;
-  readonly servers: ServerStates;
-  readonly waits: ModelWaits;
+export interface AttemptRunnerOptions<SomeCall extends Call> extends ServerPreparationOptions {
   readonly budget: RetryBudget;
   readonly crashGuard: CrashGuard;
-  readonly limits: ServerLimits;
   readonly send: SendCall<SomeCall>;
   /** Which software version began each stream. */
   readonly streams: StreamVersions;
   /** Called with what a server tells about itself, before its answer is passed on. */
   readonly onNotice?: (server: ServerEntry, notice: ServerNotice) => void;
-  /** Requests the load of an adapter. @returns whether the server holds it or will soon */
-  readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
   /** @returns the refusal of all requests that have not run yet while this host is stopping */
   readonly getStoppingRefusal: () => Refusal | undefined;
 }
@@ -95,10 +74,6 @@
 const UNREACHABLE_AVOID_MILLISECONDS = 1000;
 /** Time for which a server that rejected a request is avoided by the next attempt. */
 const REJECTED_AVOID_MILLISECONDS = 50;
-/** Time that a server needs to load an adapter after it has accepted the order. */
-const ADAPTER_LOAD_MILLISECONDS = 12;
-/** Delay before a request is sent again to a server when no untried one can receive it. */
-const SAME_SERVER_RETRY_DELAY_MILLISECONDS = 20;
 /**
  * Fraction of the remaining time after which an unanswered attempt of a retryable request is aborted,
  * so that another server can run it.
@@ -115,204 +90,9 @@
 export function createAttemptRunner<SomeCall extends Call>(
   options: AttemptRunnerOptions<SomeCall>,
 ): AttemptRunner<SomeCall> {
-  const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, budget, crashGuard, send, streams, ensureAdapter, onNotice = () => {} } = options;
-  const { getStoppingRefusal, limits } = options;
-
-  /**
-   * Returns the longest time that a request waits for the limit of a server: it must leave time to be
-   * served, and requests that come later must not all wait until they are late.
-   */
-  const getMaxLimitMilliseconds = ({ admitted, remainingMilliseconds }: ActiveRequest<SomeCall>) =>
-    Math.min(remainingMilliseconds() / 2, admitted.route.objectiveMilliseconds);
-
-  const isLimited = ({ entry }: ServerState): boolean =>
-    entry.leaving || limits.limitOf(entry.id) !== undefined;
-
-  /** Servers of the request's service; for a stream that has begun only those of its version. */
-  const listServers = ({
-    admitted,
-    requiredVersion,
-  }: ActiveRequest<SomeCall>): readonly ServerState[] => {
-    const all = servers.ofService(admitted.service);
-    if (requiredVersion === undefined) return all;
-    return all.filter(({ entry }) => entry.softwareVersion === requiredVersion);
-  };
-
-  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) =>
-    selectServer({
-      candidates: listServers(request),
-      requirements: request.call.requirements,
-      failureDomain,
-      excluded: allowTried ? new Set() : request.triedServers,
-      now: clock.monotonic(),
-      maxLimitMilliseconds: getMaxLimitMilliseconds(request),
-      limitOf: limits.limitOf,
-      millisecondsUntilFree: limits.millisecondsUntilFree,
-      canServeModel: servers.canServeModel,
-      hasAdapter: servers.hasAdapter,
-      random,
-    });
-
-  /**
-   * Returns the time until the first of the servers that could run the request has time for another one
-   * by its limit; undefined if none of them is limited.
-   */
-  const limitedMilliseconds = (request: ActiveRequest<SomeCall>): number | undefined => {
-    const { requirements } = request.call;
-    const remaining = listServers(request)
-      .filter(
-        (state) =>
-          servers.closedMilliseconds(state.entry.id) === 0 &&
-          limits.limitOf(state.entry.id) !== undefined &&
-          (requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving),
-      )
-      .map(({ entry }) => limits.millisecondsUntilFree(entry.id));
-    return remaining.length > 0 ? Math.min(...remaining) : undefined;
-  };
-
-  /** Waits until a server holds the request's model and has time for the request by its limit. */
-  const awaitModel = async (
-    request: ActiveRequest<SomeCall>,
-    { model }: ModelRequirements,
-  ): Promise<void> => {
-    const { admitted, signal } = request;
-    const holders = listServers(request).filter((state) => servers.canServeModel(state, model));
-    const maxMilliseconds = getMaxLimitMilliseconds(request);
-    if (holders.some(({ entry }) => limits.millisecondsUntilFree(entry.id) <= maxMilliseconds))
-      return;
-    // Only a server without a limit gets another replica.
-    if (holders.length > 0 && servers.ofService(admitted.service).every(isLimited))
-      throw createServersLimitedRefusal(admitted.service, limitedMilliseconds(request) ?? 0);
-    // Loads are not planned by version, so that a wait might never end.
-    if (request.requiredVersion !== undefined) {
-      const limited = limitedMilliseconds(request);
-      throw limited === undefined
-        ? createVersionGoneRefusal(request.requiredVersion)
-        : createServersLimitedRefusal(admitted.service, limited);
-    }
-    const sinceStart = startStopwatch(clock);
-    const { route } = admitted;
-    const elapsed = request.elapsedMilliseconds();
-    const result = await waits.wait({
-      model,
-      credit: 1,
-      objectiveMilliseconds: route.objectiveMilliseconds - elapsed,
-      remainingMilliseconds: Math.min(
-        request.remainingMilliseconds(),
-        route.callerTimeoutMilliseconds - elapsed,
-      ),
-      signal,
-    });
-    metrics.coldStart.record(sinceStart());
-    logger.info('wait for model', {
-      request: request.call.id,
-      model,
-      outcome: result.end,
-      readyMilliseconds: result.readyMilliseconds,
-      milliseconds: Math.round(sinceStart()),
-    });
-    // The signal also ends the wait at the deadline of the request.
-    if (signal.aborted) throw signal.reason as Refusal;
-    if (result.end !== WAIT_END.READY) throw createWaitRefusal(result, model);
-  };
-
-  /** @returns whether the server has the request's adapter now */
-  const prepareAdapter = async (
-    state: ServerState,
-    requirements: ModelRequirements,
-  ): Promise<boolean> => {
-    const { model, adapter } = requirements;
-    if (adapter === undefined || servers.hasAdapter(state, model, adapter)) return true;
-    if (!(await ensureAdapter(state.entry.id, model, adapter))) return false;
-    await clock.delay(ADAPTER_LOAD_MILLISECONDS);
-    state.adapterLoadTimes.set(`${model}/${adapter}`, clock.monotonic());
-    return true;
-  };
-
-  /**
-   * Returns the time until the first of the servers that could run the request accepts it again;
-   * undefined if none of them is closed to this host.
-   */
-  const closedMilliseconds = (request: ActiveRequest<SomeCall>): number | undefined => {
-    const { requirements } = request.call;
-    const remaining = listServers(request)
-      .filter((state) =>
-        requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving,
-      )
-      .map(({ entry }) => servers.closedMilliseconds(entry.id));
-    const earliest = Math.min(...remaining);
-    return remaining.length > 0 && earliest > 0 ? earliest : undefined;
-  };
-
-  /** Selects an untried server or, if there is none, one that can receive the request again. */
-  const selectNextServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
-    const untried = trySelectServer(request, false);
-    if (untried) return untried;
-    const tried = trySelectServer(request, true);
-    if (!tried) {
-      const { service } = request.admitted;
-      const limited = limitedMilliseconds(request);
-      if (limited !== undefined) throw createServersLimitedRefusal(service, limited);
-      const closed = closedMilliseconds(request);
-      throw closed === undefined
-        ? createNoServerRefusal(service)
-        : createServersClosedRefusal(service, closed);
-    }
-    await clock.delay(SAME_SERVER_RETRY_DELAY_MILLISECONDS);
-    // The server may have closed to this host meanwhile.
-    return servers.closedMilliseconds(tried.entry.id) > 0 ? selectNextServer(request) : tried;
-  };
-
-  const selectPreparedServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
-    const { requirements } = request.call;
-    if (requirements) await awaitModel(request, requirements);
-    const state = await selectNextServer(request);
-    if (requirements && !(await prepareAdapter(state, requirements))) {
-      // A server that is loading a model rejects adapter orders; another server may accept one.
-      request.triedServers.add(state.entry.id);
-      const other = trySelectServer(request, false);
-      if (!other || !(await prepareAdapter(other, requirements)))
-        throw createNoAdapterRefusal(requirements);
-      return other;
-    }
-    if (request.signal.aborted) throw request.signal.reason as Refusal;
-    return state;
-  };
-
-  const waitUnlessAborted = (milliseconds: number, signal: AbortSignal): Promise<void> =>
-    new Promise((resolve) => {
-      const cancel = clock.after(milliseconds, resolve);
-      const end = (): void => {
-        cancel();
-        resolve();
-      };
-      signal.addEventListener('abort', end, { once: true });
-    });
-
-  /** Waits for the reservation of a request to a server. @returns false if the wait would be too long */
-  const awaitReservation = async (
-    request: ActiveRequest<SomeCall>,
-    state: ServerState,
-  ): Promise<boolean> => {
-    const { entry } = state;
-    if (limits.limitOf(entry.id) === undefined) return true;
-    const sinceStart = startStopwatch(clock);
-    const maxMilliseconds = getMaxLimitMilliseconds(request);
-    const { isGranted, delayMilliseconds } = await limits.reserve(entry, maxMilliseconds);
-    if (isGranted && delayMilliseconds > 0)
-      await waitUnlessAborted(delayMilliseconds, request.signal);
-    metrics.limitWait.record(sinceStart());
-    if (request.signal.aborted) throw request.signal.reason as Refusal;
-    return isGranted && servers.closedMilliseconds(entry.id) === 0;
-  };
-
-  /** Selects a server that can receive the request now. */
-  const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
-    const state = await selectPreparedServer(request);
-    // A refused reservation shows when the server has time, so that another selection avoids it.
-    return (await awaitReservation(request, state)) ? state : prepareServer(request);
-  };
+  const { clock, logger, metrics, servers, limits, budget, crashGuard, send, streams } = options;
+  const { getStoppingRefusal, onNotice = () => {} } = options;
+  const prepareServer = createServerPreparation<SomeCall>(options);
 
   const changeOutstanding = (
     state: ServerState,
--- a/packages/serving/src/crashes.ts
+++ b/packages/serving/src/crashes.ts
@@ -58,16 +58,23 @@
 const listSharedParts = ({ call }: GuardedRequest): readonly string[] =>
   call.requirements?.promptParts.slice(0, -1).map(({ id }) => id) ?? [];
 
-const getContentPart = ({ call, admitted }: GuardedRequest): string =>
-  createContentPart(call.fingerprint(admitted.workspace?.name ?? ''));
-
-const listParts = (request: GuardedRequest): readonly string[] => [
-  ...listSharedParts(request),
-  getContentPart(request),
-];
-
 /** Creates the guard of one host. */
 export function createCrashGuard({ promptParts }: CrashGuardOptions): CrashGuard {
+  /** Kept for each request, as computing a fingerprint takes the hash of the whole body. */
+  const contentParts = new WeakMap<Call, string>();
+
+  const getContentPart = ({ call, admitted }: GuardedRequest): string => {
+    const caller = admitted.workspace?.name ?? '';
+    const part = contentParts.get(call) ?? createContentPart(call.fingerprint(caller));
+    contentParts.set(call, part);
+    return part;
+  };
+
+  const listParts = (request: GuardedRequest): readonly string[] => [
+    ...listSharedParts(request),
+    getContentPart(request),
+  ];
+
   const findBlocked = (
     request: GuardedRequest,
     wasLost: boolean,
