--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,7 +17,6 @@
 import {
   createAdmission,
   createModelWaits,
-  createServerLimits,
   createRequestHandler,
   createServerStates,
   createServingMetrics,
@@ -29,12 +28,7 @@
   type ServerState,
   type ServerNotice,
 } from '@bulrushspar/serving';
-import {
-  createRetryBudget,
-  createSendSchedule,
-  type Reservation,
-  type ReservationRequest,
-} from '@bulrushspar/shares';
+import { createRetryBudget, type Reservation } from '@bulrushspar/shares';
 import {
   createEraTracker,
   type EraTracker,
@@ -48,6 +42,7 @@
 import { createGossip } from './gossip.js';
 import { HOST_KIND } from './group.js';
 import { createHandlers } from './handlers.js';
+import { createFleetLimits } from './limits.js';
 import {
   MESSAGE,
   type AdapterMessage,
@@ -182,32 +177,21 @@
     hosts: () => fleet.topology.size(),
   });
 
-  /** Schedules the requests of all hosts to servers that have named a limit, while this host leads. */
-  const schedule = createSendSchedule({ clock });
-  const reserve = (request: ReservationRequest): Reservation => {
-    if (leadership.leader() !== host.name)
-      throw new Error(`host ${host.name} does not schedule the requests of all hosts`);
-    return schedule.reserve(request);
-  };
-  const limits = createServerLimits({
+  const { limits, reserve, charge } = createFleetLimits({
     clock,
+    logger,
+    host: host.name,
     random,
     countHosts: () => fleet.topology.size(),
-    requestReservation: async (request) => {
-      const leader = leadership.leader();
-      if (leader === undefined) throw new Error('no leader is known');
-      if (leader === host.name) return reserve(request);
-      return forwarding.request<Reservation>(
+    leader: () => leadership.leader(),
+    requestReservation: (leader, request) =>
+      forwarding.request<Reservation>(
         leader,
         MESSAGE.RESERVATION,
         request,
         RESERVATION_TIMEOUT_MILLISECONDS,
-      );
-    },
-    onUpdate: (update) => {
-      logger.info('server limit', { server: update.id, perSecond: update.perSecond ?? 'none' });
-      fleet.broadcast(MESSAGE.LIMIT, update);
-    },
+      ),
+    onUpdate: (update) => fleet.broadcast(MESSAGE.LIMIT, update),
   });
 
   /** Whether requests need not wait for a load of the model; the leader plans loads by the same rule. */
@@ -255,25 +239,18 @@
     servers.close(id, closedMilliseconds);
   };
 
-  /** Counts a report or an order against the limit of its server. */
-  const chargeLimit = (server: ServerEntry): void => {
-    const perSecond = limits.limitOf(server.id);
-    if (perSecond !== undefined)
-      schedule.charge({ receiver: limits.receiverOf(server), perSecond });
-  };
-
   /** Sends reports and orders, except to servers that accept nothing from this host for a time. */
   const engineControl: EngineControl = options.createEngineControl(applyNotice);
   const pausingControl: EngineControl = {
     report: async (server) => {
       if (servers.closedMilliseconds(server.id) > 0)
         throw new Error(`server ${server.id} accepts nothing from this host for a time`);
-      chargeLimit(server);
+      charge(server);
       return engineControl.report(server);
     },
     order: async (server, order) => {
       if (servers.closedMilliseconds(server.id) > 0) return ORDER_OUTCOME.REJECTED;
-      chargeLimit(server);
+      charge(server);
       return engineControl.order(server, order);
     },
   };
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -20,6 +20,7 @@
   type OwnRecord,
 } from './group.js';
 export { createHandlers, type HandlersOptions } from './handlers.js';
+export { createFleetLimits, type FleetLimits, type FleetLimitsOptions } from './limits.js';
 export { createFleetLinks, type FleetLinks, type FleetLinksOptions } from './links.js';
 export {
   MESSAGE,
--- /dev/null
+++ b/packages/entry/src/limits.ts
@@ -0,0 +1,74 @@
+/** Limits that servers name, shared by the hosts of a fleet: the leader schedules the requests of all. */
+import type { ServerEntry } from '@bulrushspar/catalogue';
+import type { Clock } from '@bulrushspar/clock';
+import type { Logger } from '@bulrushspar/logging';
+import { createServerLimits, type LimitUpdate, type ServerLimits } from '@bulrushspar/serving';
+import { createSendSchedule, type Reservation, type ReservationRequest } from '@bulrushspar/shares';
+
+/** The limits of one host's fleet. */
+export interface FleetLimits {
+  readonly limits: ServerLimits;
+  /** Reserves a request for another host; throws if this host is not the leader. */
+  reserve(request: ReservationRequest): Reservation;
+  /** Counts a report or an order, which do not wait, against the limit of its server. */
+  charge(server: ServerEntry): void;
+}
+
+/** Options of {@link createFleetLimits}. */
+export interface FleetLimitsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Name of this host. */
+  readonly host: string;
+  readonly random: () => number;
+  readonly countHosts: () => number;
+  /** @returns the host that schedules the requests of all hosts, if it is known */
+  readonly leader: () => string | undefined;
+  /** Sends a request for a reservation to the leader; rejects if no answer arrives in time. */
+  readonly requestReservation: (
+    leader: string,
+    request: ReservationRequest,
+  ) => Promise<Reservation>;
+  /** Called with each update that must be sent to the other hosts. */
+  readonly onUpdate: (update: LimitUpdate) => void;
+}
+
+/** Creates the limits of one host. */
+export function createFleetLimits(options: FleetLimitsOptions): FleetLimits {
+  const { clock, logger, host, random, countHosts, leader, onUpdate } = options;
+  /** Requests of all hosts, while this one leads. */
+  const schedule = createSendSchedule({ clock });
+
+  const reserve = (request: ReservationRequest): Reservation => {
+    if (leader() !== host)
+      throw new Error(`host ${host} does not schedule the requests of all hosts`);
+    return schedule.reserve(request);
+  };
+
+  const limits = createServerLimits({
+    clock,
+    random,
+    countHosts,
+    requestReservation: async (request) => {
+      const scheduling = leader();
+      if (scheduling === undefined) throw new Error('no leader is known');
+      return scheduling === host
+        ? reserve(request)
+        : options.requestReservation(scheduling, request);
+    },
+    onUpdate: (update) => {
+      logger.info('server limit', { server: update.id, perSecond: update.perSecond ?? 'none' });
+      onUpdate(update);
+    },
+  });
+
+  return {
+    limits,
+    reserve,
+    charge: (server) => {
+      const perSecond = limits.limitOf(server.id);
+      if (perSecond !== undefined)
+        schedule.charge({ receiver: limits.receiverOf(server), perSecond });
+    },
+  };
+}
