Keep the limit of a server that rejects requests without naming it

Only the answer to a request that the server has run ends its limit. serving/limits 'A rejection without the limit' failed before.

--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -173,7 +173,7 @@
               Object.assign(request, { begunAnswer: { framed: head.framed, sinceBegun } });
             }
             recordLoad(state, head);
-            if (!head.misdirected && !head.namesLimit)
+            if (!head.notRun && !head.misdirected && !head.namesLimit)
               limits.recordUnlimited(state.entry, sinceSent);
             if (head.notice) onNotice(state.entry, head.notice);
             sink.onHead(head, flow);
--- a/packages/serving/src/limits.ts
+++ b/packages/serving/src/limits.ts
@@ -22,8 +22,8 @@
   /** Records that a server has named a limit in an answer. */
   recordNamed(server: LimitedServer, perSecond: number): void;
   /**
-   * Records that a server has named no limit in an answer. Only an answer to a request that was sent
-   * after the limit was last named ends it, since answers can overtake each other.
+   * Records that a server has run a request and named no limit in its answer. Only an answer to a
+   * request that was sent after the limit was last named ends it, since answers can overtake each other.
    * @param sinceSent stopwatch started when that request was sent
    */
   recordUnlimited(server: LimitedServer, sinceSent: Stopwatch): void;
--- a/packages/serving/test/limits.feature
+++ b/packages/serving/test/limits.feature
@@ -58,6 +58,13 @@
     And each host gets 5 requests a second for 8 s, while the scheduling host is running
     Then it receives at least 300 requests
 
+  # Guards against a limit that is forgotten, as a full server does not name it where it rejects requests.
+  Scenario: A rejection without the limit does not end it
+    Given 8 hosts and a server that names a limit of 2 a second
+    And the server rejects each second request without naming its limit
+    When each host gets 5 requests a second for 16 s, while the scheduling host is running
+    Then the server receives at most 1.5 times its limit and 5 requests in any 4 s
+
   # Guards against a limit that is lost because an earlier answer without it arrives later.
   Scenario Outline: Answers that overtake each other
     Given a host that knows a limit
--- a/packages/serving/test/limits.ts
+++ b/packages/serving/test/limits.ts
@@ -49,6 +49,8 @@
   receivedAt: number[];
   namedAt: number | undefined;
   answers: TimedAnswer[];
+  /** The first server rejects each second request, without naming its limit. */
+  rejectsOften: boolean;
   /** What the leader reports on the model that requests need; undefined if they need none. */
   outlook: Outlook | undefined;
 }
@@ -78,13 +80,14 @@
     const isLimited = server.id === servers[0]!.id;
     if (isLimited) world.receivedAt.push(clock.monotonic());
     await clock.delay(RUN_MILLISECONDS);
-    const limitPerSecond = isLimited ? world.limit : undefined;
+    const isRejected = isLimited && world.rejectsOften && world.receivedAt.length % 2 === 0;
+    const limitPerSecond = isLimited && !isRejected ? world.limit : undefined;
     if (limitPerSecond !== undefined && world.namedAt === undefined)
       Object.assign(world, { namedAt: clock.monotonic() });
     sink.onHead(
       {
-        status: 200,
-        notRun: false,
+        status: isRejected ? 503 : 200,
+        notRun: isRejected,
         misdirected: false,
         signed: true,
         framed: true,
@@ -138,7 +141,7 @@
     const schedule = createSendSchedule({ clock });
     Object.assign(this, { clock, servers, schedule, hosts: [], limits: [], receivedAt: [] });
     Object.assign(this, { answers: [], limit: Number(limit), namedAt: undefined });
-    Object.assign(this, { outlook: undefined });
+    Object.assign(this, { outlook: undefined, rejectsOften: false });
     const promptParts = createPromptPartTracker({ clock });
     const send = createSend(this);
     for (let index = 0; index < Number(hostCount); index += 1) {
@@ -159,6 +162,13 @@
   },
 );
 
+Given(
+  'the server rejects each second request without naming its limit',
+  function reject(this: LimitWorld) {
+    this.rejectsOften = true;
+  },
+);
+
 Given(
   /^the leader (finds no server|reports that it is ready, as all servers have one) for its model$/,
   function report(this: LimitWorld, reports: string) {
