--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -131,7 +131,7 @@
   isUnreachable: boolean;
 }
 
-/** Returns the part that stands for the content of a request. */
+/** Returns the part that represents the content of a request. */
 export const createContentPart = (fingerprint: string): string => `${CONTENT_PREFIX}${fingerprint}`;
 
 const isContent = (part: string): boolean => part.startsWith(CONTENT_PREFIX);
