--- a/packages/routing/test/parts.feature
+++ b/packages/routing/test/parts.feature
@@ -85,6 +85,11 @@
     When 40 servers crash while running 10000 parts and the first host learns of 1000 other served parts
     Then it has learned them within 1 s
 
+  # All hosts were busy with computing the blocked parts anew after each message, while servers crashed.
+  Scenario: Changes of the blocked parts are reported at most twice a second
+    When servers crash and parts are served again 100 times within 1 s
+    Then the host has reported at most 4 changes of the blocked parts
+
   # Guards against a block that comes too late or stops sound requests, whatever runs beside the part.
   Scenario: Generated requests, crashes and delays of messages
     Then in 60 generated courses few requests with the part run and sound requests are served
--- a/packages/routing/test/parts.ts
+++ b/packages/routing/test/parts.ts
@@ -18,6 +18,8 @@
   deliversAtOnce: boolean;
   crashCount: number;
   learningMilliseconds: number;
+  /** Reports of parts that have become blocked, or are not blocked any more. */
+  reportCount: number;
 }
 
 const SECOND_MILLISECONDS = 1000;
@@ -313,6 +315,39 @@
   },
 );
 
+When(
+  'servers crash and parts are served again {int} times within 1 s',
+  async function change(this: PartsWorld, times: number) {
+    const clock = createManualClock();
+    this.reportCount = 0;
+    const countReport = (): void => {
+      this.reportCount += 1;
+    };
+    const host = createPromptPartTracker({
+      clock,
+      onBlocked: countReport,
+      onUnblocked: countReport,
+    });
+    for (let count = 0; count < times; count += 1) {
+      SERVER_IDS.forEach((id) => {
+        const server = { id, born: count };
+        host.recordLoss(server, ['a']);
+        host.recordUnreachable(server);
+      });
+      // eslint-disable-next-line no-await-in-loop -- crashes follow one another
+      await clock.advance(SECOND_MILLISECONDS / times);
+      host.recordServed(['a'], startMonotonicStopwatch(clock));
+    }
+  },
+);
+
+Then(
+  'the host has reported at most {int} changes of the blocked parts',
+  function check(this: PartsWorld, most: number) {
+    assert.ok(this.reportCount <= most, `${this.reportCount} reports`);
+  },
+);
+
 const describe = (host: PromptPartTracker, parts: string, minCrashes?: number): string =>
   host.findBlocked(split(parts), minCrashes) ? 'blocked' : 'served';
 
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -245,3 +245,19 @@
     When a request is served
     Then the caller gets 503 with retry-after
     And it took at most 20 ms
+
+  # Requests reached servers seconds after their callers had left: the host had read them late.
+  Scenario Outline: The time that a request has waited until the host read it counts
+    Given a <kind> route
+    And a request that has waited <waited> ms for this host
+    And servers that one after another <behave>
+    When a request is served
+    Then the caller gets <answer>
+    And <sends> servers received it
+
+    Examples:
+      | kind       | waited | behave              | answer    | sends |
+      | once       | 1000   | answer              | 504       | 0     |
+      | once       | 900    | answer              | 200 whole | 1     |
+      | once       | 900    | answer after 200 ms | 504       | 1     |
+      | idempotent | 1100   | answer              | 504       | 0     |
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -52,6 +52,8 @@
   softwareVersions: (string | undefined)[];
   resumes: { readonly attempt: string; readonly lastEventId: string } | undefined;
   departedServer: string | undefined;
+  /** Time that the request has waited until the host read it. */
+  waitedMilliseconds: number;
   /** Most megabytes that the host took of one answer. */
   largestMegabytes: number;
 }
@@ -323,7 +325,7 @@
   });
 }
 
-const createCall = (world: ServingWorld): Call => ({
+const createCall = (world: ServingWorld): Call & { readonly waitedMilliseconds: number } => ({
   id: 'call-1',
   host: 'example',
   path: '/r/1',
@@ -332,6 +334,7 @@
   ...(world.resumes
     ? { resumes: world.resumes.attempt, lastEventId: world.resumes.lastEventId }
     : {}),
+  waitedMilliseconds: world.waitedMilliseconds,
   fingerprint: () => 'content',
 });
 
@@ -366,6 +369,7 @@
     sendsByServer: new Map(),
     departedServer: undefined,
     largestMegabytes: 0,
+    waitedMilliseconds: 0,
     ...empty,
   });
 });
@@ -411,6 +415,13 @@
   },
 );
 
+Given(
+  'a request that has waited {int} ms for this host',
+  function set(this: ServingWorld, milliseconds: number) {
+    this.waitedMilliseconds = milliseconds;
+  },
+);
+
 Given('no server holds the model', function unload(this: ServingWorld) {
   this.loaded = false;
   this.behaviours = [];
