Count the time that requests wait for a host that is behind, and refuse them while it is

What callers saw: requests reached servers up to 2 s after their callers' deadlines, timeouts came late, and nearly nothing was refused while all hosts of a large site had more work than processor time. Cause: the clock of a request started when its handler ran. Time in the accept queue, the socket and the event loop counted for nothing; a close behind the request was read after the request was sent; and nothing measured that a host is behind. Class: a queue without a bound that nobody measures. Now a timer measures how late the event loop is, and turns that each accept a connection show a backlog (one connection is accepted in a turn, so that a long turn holds up all others). The wait counts against deadline, timeout and objective; while the host is behind, a request is served only after input that came with it was handled; two late measurements in a row reduce the admitted fraction. Refusals say that the request has not run, and spread the time to come back.

--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -23,6 +23,8 @@
   readonly key?: string;
   /** Time that the caller waits for the answer, if it sent one. */
   readonly callerTimeoutMilliseconds?: number;
+  /** Time that the request has waited until this host read it; it counts like time of the host. */
+  readonly waitedMilliseconds?: number;
   readonly requirements?: ModelRequirements;
   /** Tokens of the prompt plus the maximum tokens of the answer, if the caller sent them. */
   readonly tokens?: number;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -51,6 +51,11 @@
   type ServerLimitsOptions,
 } from './limits.js';
 export { createServingMetrics, type ServingMetrics } from './metrics.js';
+export {
+  createOverloadControl,
+  type OverloadControl,
+  type OverloadControlOptions,
+} from './overload.js';
 export { createStoppingRefusal } from './refusals.js';
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
 export {
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -127,9 +127,14 @@
       route.timeoutMilliseconds,
       call.callerTimeoutMilliseconds ?? Infinity,
     );
+    const remainingMilliseconds = timeoutMilliseconds - elapsed();
+    if (remainingMilliseconds <= 0) {
+      admitted.refund();
+      throw createDeadlineRefusal(RAN.NO);
+    }
     const { signal, cancel } = createDeadlineSignal(
       reply,
-      timeoutMilliseconds,
+      remainingMilliseconds,
       () => request.sendCount > 0,
     );
     let firstByteMilliseconds: number | undefined;
@@ -184,7 +189,8 @@
   };
 
   const handleRequest: RequestHandler<SomeCall> = async (call, reply) => {
-    const elapsed = startStopwatch(clock);
+    const sinceRead = startStopwatch(clock);
+    const elapsed: Stopwatch = () => sinceRead() + (call.waitedMilliseconds ?? 0);
     try {
       const admitted = admit(call);
       metrics.requests.add(1, { route: admitted.route.name });
