Open connections to servers through other hosts where a host does not reach them itself

What callers saw: hosts that were partitioned from all servers served 11 of 108 first tries, the others 206 of 214. Cause: a host had no way to a server but its own, did not know that it reaches none, and each request waited for the connect timeout of each server anew. Class: a failure of the own link is taken for a failure of each of its ends. Now a connection that is not open after 100 ms, or is refused, is also opened through another host, by the CONNECT method on the port for links, authenticated with the shared secret, to listed servers only. The host that has the request keeps all of it: selection, limits, attempts, deadline, cancellation, the retry budget. A host that reached several servers in this way only asks other hosts at once, tries the direct way each 500 ms, and closes its idle connections, which may hang. Orders always go directly, as a server must not get them from two hosts in turn. A host that is stopping waits for the connections that it passes on.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import type { Socket } from 'node:net';
 import {
   createServerDirectory,
   type FleetConfiguration,
@@ -53,6 +54,7 @@
 } from './messages.js';
 import { createOrderLeadership, type OrderLeadership } from './orders.js';
 import { createQuotas, type QuotaTolerance } from './quotas.js';
+import { createServerRelays } from './relays.js';
 import { createKindFollower } from './source.js';
 import { countRunningRequests } from './totals.js';
 
@@ -103,6 +105,10 @@
     onNotice: (server: ServerEntry, notice: ServerNotice) => void,
   ) => EngineControl;
   readonly send: SendCall<SomeCall>;
+  /** Opens a connection to a server from this host itself. */
+  readonly openDirect: (address: string, signal: AbortSignal) => Promise<Socket>;
+  /** Whether this host reaches servers itself, as far as it knows. */
+  readonly reachesServers: () => boolean;
   readonly bounds: FleetBounds;
   /** The fleet starts for the first time. */
   readonly isFirstStart: boolean;
@@ -114,6 +120,10 @@
 /** Running entry host of a fleet. */
 export interface Entry<SomeCall extends Call> {
   readonly serve: RequestHandler<SomeCall>;
+  /** Opens a connection to a server through another host. */
+  openThroughHost(address: string, signal: AbortSignal): Promise<Socket>;
+  /** @returns the connections to servers that this host passes on for other hosts */
+  countRelayed(): number;
   /** Whether the host has a configuration and accepts new requests. */
   isReady(): boolean;
   /** Refuses new requests from now on. */
@@ -388,6 +398,16 @@
     receiveOutlook,
   });
 
+  const relays = createServerRelays({
+    random,
+    failureDomain: host.failureDomain,
+    listHosts: () => fleet.otherHosts(),
+    openTunnel: (peer, address, signal) => fleet.links.openTunnel(peer, address, signal),
+    servers: () => directory.current(),
+    openDirect: options.openDirect,
+    canOpenForHosts: () => !isRefusing && options.reachesServers(),
+  });
+
   const fleet: Fleet = createFleet({
     self,
     record: {
@@ -416,6 +436,7 @@
     hasReported: (name) => gossip.hasReported(name),
     needsRelay: (name) => gossip.needsRelay(name),
     primaryHub: () => gossip.primaryHub(),
+    openTarget: relays.openForHost,
   });
 
   const forwarding: Forwarding = createForwarding({
@@ -489,6 +510,8 @@
 
   return {
     serve,
+    openThroughHost: relays.openThroughHost,
+    countRelayed: relays.countRelayed,
     isReady: () => configuration !== undefined && !isRefusing,
     refuseNewRequests: () => {
       isRefusing = true;
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -1,4 +1,5 @@
 /** Membership of one host in its fleet: links to other hosts, and relayed broadcasts. */
+import type { Socket } from 'node:net';
 import {
   runPeriodically,
   startMonotonicStopwatch,
@@ -18,6 +19,8 @@
 export interface Fleet {
   readonly topology: Topology;
   readonly links: FleetLinks;
+  /** @returns the other hosts with a record */
+  otherHosts(): readonly ListedPeer[];
   /** Replaces the records of all hosts. */
   updateHosts(view: ObjectView<unknown>): void;
   /** Keeps the hosts whose records the store has lost until they have written them again. */
@@ -50,6 +53,8 @@
   readonly needsRelay: (host: string) => boolean;
   /** Hub through which this host reaches the others; undefined for a hub. */
   readonly primaryHub: () => string | undefined;
+  /** Opens a connection to a server that another host asks for. */
+  readonly openTarget?: (target: string) => Promise<Socket>;
 }
 
 /** Interval of the checks for missing links, own record and hosts without reports. */
@@ -90,6 +95,7 @@
     clock,
     logger,
     handlers: options.handlers,
+    ...(options.openTarget ? { openTarget: options.openTarget } : {}),
     // Between two hubs, and in a full mesh, the host whose name sorts first opens the link.
     dials: (host) =>
       topology.isHub() && topology.hubs().includes(host) ? host > self.host : !topology.isHub(),
@@ -173,6 +179,7 @@
   return {
     topology,
     links,
+    otherHosts: () => peers.filter(({ host }) => host !== self.host),
     recordRollback: () => {
       sinceRollback = startMonotonicStopwatch(clock);
       clock.after(random() * RESTORATION_SPREAD_MILLISECONDS, () => {
--- a/packages/entry/src/links.ts
+++ b/packages/entry/src/links.ts
@@ -1,4 +1,5 @@
 /** Links from one host to other hosts of its fleet. */
+import type { Socket } from 'node:net';
 import type { Clock } from '@bulrushspar/clock';
 import type { Logger } from '@bulrushspar/logging';
 import {
@@ -22,6 +23,8 @@
   connectTo(peers: readonly PeerAddress[], known: ReadonlySet<string>): void;
   /** Listens for links and writes this host's record; resolves once the record is written. */
   open(): Promise<void>;
+  /** Opens a connection to a server through another host; rejects if that one does not reach it. */
+  openTunnel(peer: PeerAddress, target: string, signal: AbortSignal): Promise<Socket>;
   /** Writes this host's record again. */
   register(): Promise<void>;
   /** Writes the shared secret again if the store has lost it; accepts the store's one from now on. */
@@ -41,6 +44,8 @@
   readonly handlers: PeerHandlers;
   readonly onLink: (link: Link) => void;
   readonly onLost: (host: string) => void;
+  /** Opens a connection that another host asks for. */
+  readonly openTarget?: (target: string) => Promise<Socket>;
 }
 
 /** Time without a message after which a link is closed; spans several state messages. */
@@ -48,7 +53,7 @@
 
 /** Creates the links of one host; initially none is open. */
 export function createFleetLinks(options: FleetLinksOptions): FleetLinks {
-  const { self, record, store, clock, logger, handlers, onLink, onLost } = options;
+  const { self, record, store, clock, logger, handlers, onLink, onLost, openTarget } = options;
   let network: PeerNetwork | undefined;
   let wantedPeers: readonly PeerAddress[] = [];
   let keptHosts: ReadonlySet<string> = new Set();
@@ -81,6 +86,7 @@
         secrets,
         clock,
         handlers,
+        ...(openTarget ? { openTarget } : {}),
         silenceTimeoutMilliseconds: LINK_TIMEOUT_MILLISECONDS,
         onLinkOpened: (link) => {
           logger.info('link opened', { peer: link.peer.host });
@@ -95,6 +101,10 @@
       connect();
       await register();
     },
+    openTunnel: (peer, target, signal) =>
+      network
+        ? network.openTunnel(peer, target, signal)
+        : Promise.reject(new Error('the links of this host are not open yet')),
     register,
     restoreSecret: async () => {
       const [secret] = secrets;
--- /dev/null
+++ b/packages/entry/src/relays.ts
@@ -0,0 +1,93 @@
+/** Connections to servers that hosts open for each other. */
+import type { Socket } from 'node:net';
+import type { ServerView } from '@bulrushspar/catalogue';
+import type { PeerAddress } from '@bulrushspar/peer';
+
+/** A host that can be asked for connections. */
+export interface RelayHost extends PeerAddress {
+  readonly failureDomain: string;
+}
+
+/** Opens connections to servers through other hosts, and for them. */
+export interface ServerRelays {
+  /** Opens a connection to a server through a host that reaches it; rejects if none was found. */
+  openThroughHost(address: string, signal: AbortSignal): Promise<Socket>;
+  /** Opens a connection for another host; rejects if the target is no server or is out of reach. */
+  openForHost(target: string): Promise<Socket>;
+  /** @returns the connections that this host passes on for others */
+  countRelayed(): number;
+}
+
+/** Options of {@link createServerRelays}. */
+export interface ServerRelaysOptions {
+  readonly random: () => number;
+  readonly failureDomain: string;
+  /** @returns the other hosts */
+  readonly listHosts: () => readonly RelayHost[];
+  readonly openTunnel: (host: PeerAddress, address: string, signal: AbortSignal) => Promise<Socket>;
+  /** @returns the listed servers */
+  readonly servers: () => ServerView;
+  /** Opens a connection from this host itself. */
+  readonly openDirect: (address: string, signal: AbortSignal) => Promise<Socket>;
+  /** Whether this host reaches servers and is not about to end. */
+  readonly canOpenForHosts: () => boolean;
+}
+
+/** Number of hosts that are asked for one connection; most of a failure domain may be cut off. */
+const MAX_HOSTS_ASKED = 5;
+/** Longest wait for a host; it answers within a few milliseconds. */
+const HOST_TIMEOUT_MILLISECONDS = 250;
+/** Longest wait of a host for the server; shorter, so that the asking host learns of it. */
+const SERVER_TIMEOUT_MILLISECONDS = 200;
+
+/** Creates the relays of one host. */
+export function createServerRelays(options: ServerRelaysOptions): ServerRelays {
+  const { random, failureDomain, listHosts, openTunnel, servers } = options;
+  const { openDirect, canOpenForHosts } = options;
+  let lastHost: string | undefined;
+  let relayedCount = 0;
+
+  /** Lists the host that has helped last, and then the others, those of the own failure domain first. */
+  const rankHosts = (): readonly RelayHost[] => {
+    const rank = (host: RelayHost): number =>
+      (host.host === lastHost ? -1 : 0) +
+      (host.failureDomain === failureDomain ? 0 : 1) +
+      random() / 2;
+    return listHosts()
+      .map((host) => ({ host, rank: rank(host) }))
+      .sort((first, second) => first.rank - second.rank)
+      .map(({ host }) => host);
+  };
+
+  return {
+    openThroughHost: async (address, signal) => {
+      let lastError: unknown = new Error('there is no other host');
+      for (const host of rankHosts().slice(0, MAX_HOSTS_ASKED)) {
+        if (signal.aborted) break;
+        const limited = AbortSignal.any([signal, AbortSignal.timeout(HOST_TIMEOUT_MILLISECONDS)]);
+        try {
+          // eslint-disable-next-line no-await-in-loop -- hosts are asked one after another
+          const socket = await openTunnel(host, address, limited);
+          lastHost = host.host;
+          return socket;
+        } catch (error) {
+          if (lastHost === host.host) lastHost = undefined;
+          lastError = error;
+        }
+      }
+      throw lastError;
+    },
+    openForHost: async (target) => {
+      if (!canOpenForHosts()) throw new Error('this host opens no connections for others now');
+      const isListed = [...servers().values()].some(({ address }) => address === target);
+      if (!isListed) throw new Error(`${target} is not the address of a listed server`);
+      const socket = await openDirect(target, AbortSignal.timeout(SERVER_TIMEOUT_MILLISECONDS));
+      relayedCount += 1;
+      socket.once('close', () => {
+        relayedCount -= 1;
+      });
+      return socket;
+    },
+    countRelayed: () => relayedCount,
+  };
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -16,3 +16,9 @@
   type PeerNetwork,
   type PeerNetworkOptions,
 } from './network.js';
+export {
+  openTunnel,
+  serveTunnels,
+  type TunnelOptions,
+  type TunnelServerOptions,
+} from './tunnel.js';
--- a/packages/peer/src/network.ts
+++ b/packages/peer/src/network.ts
@@ -1,9 +1,12 @@
+import { createServer, type Server } from 'node:http';
+import type { Socket } from 'node:net';
 import { WebSocket, WebSocketServer } from 'ws';
 import type { Clock } from '@bulrushspar/clock';
 import type { Incarnation } from '@bulrushspar/store';
 import { createConnection, type Connection, type Traffic } from './connection.js';
 import { ROLE, performHandshake, type Role } from './handshake.js';
 import { createLink, type Link, type PeerHandlers } from './link.js';
+import { openTunnel, serveTunnels } from './tunnel.js';
 
 /** Address at which another node listens for links. */
 export interface PeerAddress {
@@ -27,6 +30,8 @@
   connectTo(peers: readonly PeerAddress[], policy?: LinkPolicy): void;
   getLinks(): readonly Link[];
   getLink(host: string): Link | undefined;
+  /** Opens a connection to a target through a peer; rejects if the peer does not reach the target. */
+  openTunnel(peer: PeerAddress, target: string, signal: AbortSignal): Promise<Socket>;
   readonly traffic: Readonly<Traffic>;
   close(): Promise<void>;
 }
@@ -40,6 +45,8 @@
   readonly handlers: PeerHandlers;
   readonly onLinkOpened?: (link: Link) => void;
   readonly onLinkLost?: (peer: Incarnation) => void;
+  /** Opens a connection that another node asks for; without it such requests are refused. */
+  readonly openTarget?: (target: string) => Promise<Socket>;
   /** Called when the authentication of the other end fails; once until it next succeeds. */
   readonly onAuthenticationFailed?: (address: string) => void;
   /** Time without a message after which a link counts as broken, in milliseconds. */
@@ -61,13 +68,14 @@
     onLinkOpened = () => {},
     onLinkLost = () => {},
     onAuthenticationFailed = () => {},
+    openTarget = () => Promise.reject(new Error('this node opens no connections for others')),
   } = options;
   const { silenceTimeoutMilliseconds = 3000, reconnectDelayMilliseconds = 250 } = options;
   const traffic: Traffic = { messages: 0, bytes: 0, dropped: 0 };
   const links = new Map<string, Link>();
   const dialControllers = new Map<string, AbortController>();
   const unauthenticatedRemotes = new Set<string>();
-  let server: WebSocketServer | undefined;
+  let server: Server | undefined;
   let closed = false;
 
   /** Runs one connection from the handshake until it closes. */
@@ -133,18 +141,21 @@
   return {
     listen: (address, port) =>
       new Promise((resolve, reject) => {
-        server = new WebSocketServer({
-          host: address,
-          port,
+        server = createServer();
+        serveTunnels(server, { secrets, openTarget });
+        const webSocketServer = new WebSocketServer({
+          server,
           maxPayload: MAX_MESSAGE_BYTES,
           perMessageDeflate: false,
         });
         server.once('listening', resolve);
-        server.once('error', reject);
-        server.on('connection', (socket, { socket: { remoteAddress = 'unknown' } }) => {
+        // The server of the WebSockets passes on the errors of its HTTP server.
+        webSocketServer.once('error', reject);
+        webSocketServer.on('connection', (socket, { socket: { remoteAddress = 'unknown' } }) => {
           const connection = createConnection(socket, clock, traffic);
           runConnection(connection, ROLE.LISTENER, remoteAddress).catch(() => socket.terminate());
         });
+        server.listen(port, address);
       }),
     connectTo: (peers, policy = {}) => {
       const requestedHosts = new Set(peers.map(({ host }) => host));
@@ -166,14 +177,23 @@
     },
     getLinks: () => [...links.values()],
     getLink: (host) => links.get(host),
+    openTunnel: (peer, target, signal) => {
+      const [secret] = secrets;
+      if (secret === undefined) return Promise.reject(new Error('no shared secret is known'));
+      return openTunnel({ peer, target, secret, signal });
+    },
     traffic,
     close: async () => {
       closed = true;
       dialControllers.forEach((controller) => controller.abort());
       links.forEach((link) => link.close());
       await new Promise<void>((resolve) => {
-        if (server) server.close(() => resolve());
-        else resolve();
+        if (!server) {
+          resolve();
+          return;
+        }
+        server.close(() => resolve());
+        server.closeAllConnections();
       });
     },
   };
--- a/packages/targets/src/client.ts
+++ b/packages/targets/src/client.ts
@@ -6,6 +6,8 @@
   /** Such as http://127.0.0.1:8000. */
   readonly origin: string;
   readonly connectTimeoutMilliseconds: number;
+  /** Opens the connection, instead of a direct one; it must keep to the timeout itself. */
+  readonly openSocket?: () => Promise<Socket>;
   /** Time after which an idle connection is closed; the default of the HTTP client if omitted. */
   readonly keepAliveMilliseconds?: number;
 }
@@ -83,15 +85,27 @@
   }
 }
 
+/** Adapts a function that opens sockets to the HTTP client. */
+const createSocketConnector =
+  (openSocket: () => Promise<Socket>): buildConnector.connector =>
+  (_options, callback) => {
+    openSocket().then(
+      (socket) => callback(null, socket),
+      (error: unknown) => callback(error instanceof Error ? error : new Error(String(error)), null),
+    );
+  };
+
 /**
  * Creates an HTTP client with one connection to a target. Compensates for two properties of undici's
  * client, which concern answers that end with their connection: it reports them as complete after a
  * reset, and it throws outside of the exchange if the connection ends while the answer is paused.
  */
 export function createTargetClient(options: TargetClientOptions): Client {
-  const { origin, connectTimeoutMilliseconds, keepAliveMilliseconds } = options;
+  const { origin, connectTimeoutMilliseconds, keepAliveMilliseconds, openSocket } = options;
   const state: ClientState = { earlierBytes: 0, bodyBytes: 0, resume: () => {} };
-  const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+  const connect = openSocket
+    ? createSocketConnector(openSocket)
+    : buildConnector({ timeout: connectTimeoutMilliseconds });
   const client = new Client(origin, {
     pipelining: 1,
     // The listeners run before those of undici's client.
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,5 +1,12 @@
 /** HTTP clients for targets: engines and plain services. */
 export { createTargetClient, type TargetClientOptions } from './client.js';
+export {
+  createConnector,
+  type Closable,
+  type Connector,
+  type ConnectorOptions,
+  type OpenConnection,
+} from './connector.js';
 export {
   createHttpEngine,
   ORDER,
--- a/packages/targets/test/connector.ts
+++ b/packages/targets/test/connector.ts
@@ -2,29 +2,19 @@
 import assert from 'node:assert/strict';
 import { Before, Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
-import * as targets from '@bulrushspar/targets';
+import { createConnector, type Connector } from '@bulrushspar/targets';
 
 interface TestConnection {
   readonly way: string;
   destroy(): void;
 }
 
-interface ConnectorOptions {
-  readonly clock: ManualClock;
-  readonly openDirect: (address: string, signal: AbortSignal) => Promise<TestConnection>;
-  readonly openThroughHost: (address: string, signal: AbortSignal) => Promise<TestConnection>;
-}
-
-interface Connector {
-  open(address: string): Promise<TestConnection>;
-}
-
 interface ConnectorWorld {
   clock: ManualClock;
   direct: string;
   other: string;
   hostRequests: number;
-  connector: Connector;
+  connector: Connector<TestConnection>;
   way: string | undefined;
   milliseconds: number;
 }
@@ -33,11 +23,6 @@
 const MAX_MILLISECONDS = 5000;
 const HOST_MILLISECONDS = 2;
 
-// Not part of the package before the fault was mended.
-const { createConnector } = targets as unknown as {
-  readonly createConnector: (options: ConnectorOptions) => Connector;
-};
-
 const createTestConnection = (way: string): TestConnection => ({ way, destroy: () => {} });
 
 async function openDirect(
