--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -261,3 +261,32 @@
       | once       | 900    | answer              | 200 whole | 1     |
       | once       | 900    | answer after 200 ms | 504       | 1     |
       | idempotent | 1100   | answer              | 504       | 0     |
+
+  # Brittle servers ended when they had to reject more requests in a second than they had named.
+  Scenario: No request is sent to a brittle server that is full
+    Given an idempotent route
+    And servers that one after another answer as brittle and full, answer as brittle and full, answer as brittle and full, answer
+    When a request is served
+    And 10 ms later a request is served
+    And 10 ms later a request is served
+    And 10 ms later a request is served
+    Then the caller gets 503 with retry-after
+    And 3 servers received it
+
+  Scenario: A brittle server that has rejected a request gets none for a second
+    Given an idempotent route
+    And servers that one after another reject as brittle, reject as brittle, reject as brittle, answer
+    When a request is served
+    And 100 ms later a request is served
+    Then the caller gets 503 with retry-after
+    And 3 servers received it
+
+  Scenario: A server that is not brittle any more gets requests as others do
+    Given an idempotent route
+    And servers that one after another answer as brittle and full, answer as brittle and full, answer as brittle and full, answer
+    When a request is served
+    And 10 ms later a request is served
+    And 10 ms later a request is served
+    And 600 ms later a request is served
+    Then the caller gets 200 whole
+    And 4 servers received it
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -185,12 +185,17 @@
     sink.onHead(head({ status: 503, notRun: true, notice }), flow);
   } else if (behaviour === 'answer and leave')
     sink.onHead(head({ notice: { isLeaving: true } }), flow);
+  else if (behaviour === 'reject as brittle')
+    sink.onHead(head({ status: 503, notRun: true, isBrittle: true }), flow);
+  else if (behaviour === 'answer as brittle and full')
+    sink.onHead(head({ isBrittle: true, load: { running: 8, waiting: 0, slots: 8 } }), flow);
   else if (behaviour === 'reject') sink.onHead(head({ status: 503, notRun: true }), flow);
   else if (behaviour === 'end without length or event') sink.onHead(head({ framed: false }), flow);
   else if (behaviour === 'answer another request') sink.onHead(head({ callId: 'call-0' }), flow);
   else if (behaviour === 'answer unsigned') sink.onHead(head({ signed: false }), flow);
   else sink.onHead(head({ status: behaviour === 'fail' ? 500 : 200 }), flow);
-  if (['answer', 'answer and leave', 'fail'].includes(behaviour)) sink.onData(Buffer.from('whole'));
+  if (['answer', 'answer as brittle and full', 'answer and leave', 'fail'].includes(behaviour))
+    sink.onData(Buffer.from('whole'));
 }
 
 const rejectOnAbort = (signal: AbortSignal): Promise<never> =>
