Send brittle servers only requests that they have room for

Servers that are brittle end when they must reject more requests in a second than they name. A request was sent to a full server, and sent on to it after a rejection as to any other. Now a server whose last answer to this host names it as brittle gets requests only while the requests that are known to be there are fewer than its slots, and none for a second after it has rejected one. Not shown on the bench, which has no such disruption; rejections are not told to other hosts yet.

--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -74,6 +74,8 @@
 const UNREACHABLE_AVOID_MILLISECONDS = 1000;
 /** Time for which a server that rejected a request is avoided by the next attempt. */
 const REJECTED_AVOID_MILLISECONDS = 50;
+/** Time for which a brittle server that has rejected a request gets none from this host. */
+const BRITTLE_CLOSED_MILLISECONDS = 1000;
 /**
  * Fraction of the remaining time after which an unanswered attempt of a retryable request is aborted,
  * so that another server can run it.
@@ -173,6 +175,7 @@
               Object.assign(request, { begunAnswer: { framed: head.framed, sinceBegun } });
             }
             recordLoad(state, head);
+            if (!head.misdirected) Object.assign(state, { isBrittle: head.isBrittle === true });
             if (!head.notRun && !head.misdirected && !head.namesLimit)
               limits.recordUnlimited(state.entry, sinceSent);
             if (head.notice) onNotice(state.entry, head.notice);
@@ -237,6 +240,7 @@
       why: errorMessage(error),
     });
     if (rejected || notSent) {
+      if (rejected && state.isBrittle) servers.close(state.entry.id, BRITTLE_CLOSED_MILLISECONDS);
       if (notSent) crashGuard.recordUnreachable(state.entry);
       servers.avoid(state, notSent ? UNREACHABLE_AVOID_MILLISECONDS : REJECTED_AVOID_MILLISECONDS);
       if (requirements?.adapter !== undefined)
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -83,6 +83,8 @@
   readonly callId?: string;
   readonly load?: ServerLoad;
   readonly notice?: ServerNotice;
+  /** Whether the server ends if it must reject too many requests in a short time. */
+  readonly isBrittle?: boolean;
   /** Whether the server has named a limit, readable or not; otherwise it has none. */
   readonly namesLimit?: boolean;
 }
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -89,6 +89,10 @@
   return cost;
 }
 
+/** Whether a server can run one more request; others than brittle ones may let it wait. */
+const hasRoom = (state: ServerState, now: number): boolean =>
+  !state.isBrittle || countServerRequests(state, now) < state.entry.slots;
+
 /** Selects the server with the lowest expected delay; avoided servers only if there is no other. */
 export function selectServer(selection: ServerSelection): ServerState | undefined {
   const { candidates, requirements, excluded, now, random, maxLimitMilliseconds } = selection;
@@ -97,6 +101,7 @@
     isEligible: (state) =>
       !excluded.has(state.entry.id) &&
       state.closedUntil <= now &&
+      hasRoom(state, now) &&
       selection.millisecondsUntilFree(state.entry.id) <= maxLimitMilliseconds &&
       (requirements ? selection.canServeModel(state, requirements.model) : !state.entry.leaving),
     isAvoided: ({ avoidUntil }) => avoidUntil > now,
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -20,6 +20,8 @@
   readonly adapterLoadTimes: Map<string, number>;
   /** Time on the monotonic clock before which the server accepts nothing from this host. */
   closedUntil: number;
+  /** Whether the server ends if it must reject too many requests, by its last answer to this host. */
+  isBrittle: boolean;
   /** Time on the monotonic clock when the server was first reported as leaving. */
   leavingSince: number | undefined;
   /** Times of the orders to unload a model, by model. */
@@ -79,6 +81,7 @@
     failureRate: 0,
     avoidUntil: 0,
     closedUntil: -Infinity,
+    isBrittle: false,
     adapterLoadTimes: new Map(),
     leavingSince: undefined,
     unloadOrderTimes: new Map(),
