Let a leader that reaches no server leave the lease for orders to another host

A leader that was partitioned from all servers renewed its lease for 12 s and sent no order: nothing was loaded for any host. It now gives the lease up after 1 s, and a host that reaches no server does not contend. A host that has opened no connection for 5 s is taken to reach servers again, as it may no longer know.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -342,6 +342,7 @@
     handoverMilliseconds: bounds.handoverMilliseconds,
     eras,
     isFirstStart: options.isFirstStart,
+    reachesServers: options.reachesServers,
     canOthersReachStore: () => gossip.canOthersReachStore(),
     contentionRank: () => fleet.contentionRank(),
     onOutlook: (outlook, waiting) => {
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -65,6 +65,8 @@
   readonly isLimited?: (server: string) => boolean;
   /** Rank of this host among the contenders, so that they do not all contend at once. */
   readonly contentionRank: () => number;
+  /** Whether this host reaches servers, as far as it knows; true by default. */
+  readonly reachesServers?: () => boolean;
   /** Whether other hosts have reported that the store answers them. */
   readonly canOthersReachStore: () => boolean;
 }
@@ -77,6 +79,8 @@
  * without orders for longer.
  */
 const MAX_UNCONFIRMED_MILLISECONDS = 1100;
+/** Time without a server in reach after which a leader abandons the lease. */
+const MAX_UNREACHED_MILLISECONDS = 1000;
 /** Time without a report from the leader after which other hosts contend. */
 const LEADER_TIMEOUT_MILLISECONDS = 700;
 /** Delay before contending, per rank. */
@@ -100,7 +104,7 @@
   const { store, clock, logger, self, demand, configuration, runningByModel } = options;
   const { onOutlook, onUnloading, handoverMilliseconds, contentionRank, canOthersReachStore } =
     options;
-  const { isLimited } = options;
+  const { isLimited, reachesServers = () => true } = options;
   const { eras = createEraTracker(), isFirstStart = false } = options;
   /** Last report on the lease, by host. */
   const receivedLeases = new Map<string, ReceivedLease>();
@@ -138,7 +142,7 @@
     currentEra: eras.current,
     mayHaveLostRecords: () => eras.current() > 0 && (eras.hasChanged() || !isFirstStart),
     mayHaveLostNumbers: () => eras.mayHaveBegunAnew() && !isFirstStart,
-    isContender: () => !mustDefer(),
+    isContender: () => reachesServers() && !mustDefer(),
     isAbandoned: (fencing) => {
       const found = newestReceived();
       return found !== undefined && found.over && found.fencing === fencing;
@@ -166,13 +170,24 @@
     },
   };
 
-  // Abandons the lease if the store answers other hosts but not this one.
+  let sinceReached = startMonotonicStopwatch(clock);
+
+  /** Returns why this host should leave the lease to another one; undefined if it should not. */
+  const findReasonToAbandon = (): string | undefined => {
+    if (sinceReached() > MAX_UNREACHED_MILLISECONDS) return 'this host reaches no server';
+    const isUnconfirmed = lease.millisecondsSinceRenewal() >= MAX_UNCONFIRMED_MILLISECONDS;
+    return isUnconfirmed && canOthersReachStore()
+      ? 'the store answers other hosts, but not this one'
+      : undefined;
+  };
+
   const stopRenewalCheck = runPeriodically(clock, CHECK_INTERVAL_MILLISECONDS, () => {
+    if (reachesServers()) sinceReached = startMonotonicStopwatch(clock);
     const fencing = lease.currentFencing();
-    if (fencing === undefined || lease.millisecondsSinceRenewal() < MAX_UNCONFIRMED_MILLISECONDS)
-      return;
-    if (!canOthersReachStore()) return;
+    const why = fencing === undefined ? undefined : findReasonToAbandon();
+    if (why === undefined) return;
     logger.warn('lease for orders given up', {
+      why,
       fencing,
       sinceRenewed: lease.millisecondsSinceRenewal(),
     });
--- a/packages/entry/test/orders.feature
+++ b/packages/entry/test/orders.feature
@@ -9,6 +9,13 @@
     And the second orders "s1" at least 3300 ms after the first did
     And it does so within 3800 ms
 
+  # A leader that was partitioned from all servers kept the lease: nothing was loaded for any host.
+  Scenario: A leader that reaches no server leaves the lease to another host
+    Given two hosts that contend for the lease for orders
+    When the first has ordered "s1" and loses the servers 500 ms later
+    Then the second orders "s2" within 1500 ms
+    And the second orders "s1" at least 3300 ms after the first did
+
   Scenario: After a crash of the leader, the next one waits for the end of its term at all servers
     Given two hosts that contend for the lease for orders
     When the first has ordered "s1" and crashes 500 ms later
--- a/packages/entry/test/orders.ts
+++ b/packages/entry/test/orders.ts
@@ -19,6 +19,7 @@
   readonly leadership: OrderLeadership;
   readonly stopping: AbortController;
   reachesStore: boolean;
+  reachesServers: boolean;
   isDead: boolean;
 }
 
@@ -134,6 +135,7 @@
     onUnloading: () => {},
     handoverMilliseconds: HANDOVER_MILLISECONDS,
     contentionRank: () => rank,
+    reachesServers: () => orderingHost.reachesServers,
     canOthersReachStore: () => world.hosts?.some((other) => other.reachesStore) ?? true,
   });
   leadership.setServers(SERVERS);
@@ -142,6 +144,7 @@
     leadership,
     stopping,
     reachesStore: true,
+    reachesServers: true,
     isDead: false,
   };
   leadership.run(stopping.signal).catch(() => {});
@@ -189,7 +192,7 @@
 });
 
 When(
-  /^the first has ordered "s1" and (loses the store|crashes) (\d+) ms later$/,
+  /^the first has ordered "s1" and (loses the store|loses the servers|crashes) (\d+) ms later$/,
   async function lose(this: LeadershipWorld, how: string, milliseconds: string) {
     const [first, second] = this.hosts;
     setWants(first, ['m1']);
@@ -199,7 +202,8 @@
       ['a s1'],
     );
     await advanceAndExchange(this, Number(milliseconds));
-    first.reachesStore = false;
+    if (how === 'loses the servers') first.reachesServers = false;
+    else first.reachesStore = false;
     first.isDead = how === 'crashes';
     this.firstTermEnd = this.clock.monotonic() + TERM_MILLISECONDS;
     setWants(first, []);
--- a/packages/targets/src/connector.ts
+++ b/packages/targets/src/connector.ts
@@ -40,6 +40,8 @@
 const MIN_SERVERS_OUT_OF_REACH = 2;
 /** Interval at which a host that reaches no server tries the direct way again. */
 const DIRECT_TRIAL_MILLISECONDS = 500;
+/** Time after which a host that has opened no connection since may reach servers again. */
+const CUT_OFF_MILLISECONDS = 5000;
 /** Time for which a server that other hosts do not reach either is not tried through them. */
 const UNREACHABLE_MILLISECONDS = 1000;
 
@@ -55,6 +57,7 @@
   const unreachableSince = new Map<string, number>();
   let isCutOff = false;
   let triedDirectAt = -Infinity;
+  let reachedThroughHostAt = -Infinity;
 
   const isRecent = (at: number | undefined, milliseconds: number): boolean =>
     at !== undefined && clock.monotonic() - at < milliseconds;
@@ -72,7 +75,8 @@
   };
 
   const recordThroughHost = (address: string): void => {
-    outOfReachSince.set(address, clock.monotonic());
+    reachedThroughHostAt = clock.monotonic();
+    outOfReachSince.set(address, reachedThroughHostAt);
     outOfReachSince.forEach((at, key) => {
       if (!isRecent(at, OUT_OF_REACH_MILLISECONDS)) outOfReachSince.delete(key);
     });
@@ -168,5 +172,8 @@
       }
     });
 
-  return { open, reachesServers: () => !isCutOff };
+  return {
+    open,
+    reachesServers: () => !isCutOff || !isRecent(reachedThroughHostAt, CUT_OFF_MILLISECONDS),
+  };
 }
