Reset the connections that a host passes on when it ends before they do

An answer without a length that leads through a host would look complete where this host closes the connection in order. The port for links answers requests that are no upgrade, as it did before. The row of the relay in peer/tunnel was not run on the code before.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -124,6 +124,8 @@
   openThroughHost(address: string, signal: AbortSignal): Promise<Socket>;
   /** @returns the connections to servers that this host passes on for other hosts */
   countRelayed(): number;
+  /** Resets the connections that this host passes on, as it ends before they do. */
+  resetRelayed(): void;
   /** Whether the host has a configuration and accepts new requests. */
   isReady(): boolean;
   /** Refuses new requests from now on. */
@@ -513,6 +515,7 @@
     serve,
     openThroughHost: relays.openThroughHost,
     countRelayed: relays.countRelayed,
+    resetRelayed: relays.resetRelayed,
     isReady: () => configuration !== undefined && !isRefusing,
     refuseNewRequests: () => {
       isRefusing = true;
--- a/packages/entry/src/relays.ts
+++ b/packages/entry/src/relays.ts
@@ -16,6 +16,8 @@
   openForHost(target: string): Promise<Socket>;
   /** @returns the connections that this host passes on for others */
   countRelayed(): number;
+  /** Resets the connections that this host passes on, as it ends before they do. */
+  resetRelayed(): void;
 }
 
 /** Options of {@link createServerRelays}. */
@@ -45,7 +47,7 @@
   const { random, failureDomain, listHosts, openTunnel, servers } = options;
   const { openDirect, canOpenForHosts } = options;
   let lastHost: string | undefined;
-  let relayedCount = 0;
+  const relayed = new Set<Socket>();
 
   /** Lists the host that has helped last, and then the others, those of the own failure domain first. */
   const rankHosts = (): readonly RelayHost[] => {
@@ -82,12 +84,11 @@
       const isListed = [...servers().values()].some(({ address }) => address === target);
       if (!isListed) throw new Error(`${target} is not the address of a listed server`);
       const socket = await openDirect(target, AbortSignal.timeout(SERVER_TIMEOUT_MILLISECONDS));
-      relayedCount += 1;
-      socket.once('close', () => {
-        relayedCount -= 1;
-      });
+      relayed.add(socket);
+      socket.once('close', () => relayed.delete(socket));
       return socket;
     },
-    countRelayed: () => relayedCount,
+    countRelayed: () => relayed.size,
+    resetRelayed: () => relayed.forEach((socket) => socket.resetAndDestroy()),
   };
 }
--- a/packages/peer/src/network.ts
+++ b/packages/peer/src/network.ts
@@ -57,6 +57,7 @@
 
 const MAX_MESSAGE_BYTES = 4_000_000;
 const CONNECT_TIMEOUT_MILLISECONDS = 2000;
+const UPGRADE_REQUIRED = 426;
 
 const formatPeerUrl = ({ address, port }: PeerAddress): string =>
   address.includes(':') ? `ws://[${address}]:${port}` : `ws://${address}:${port}`;
@@ -141,7 +142,9 @@
   return {
     listen: (address, port) =>
       new Promise((resolve, reject) => {
-        server = createServer();
+        server = createServer((_request, response) => {
+          response.writeHead(UPGRADE_REQUIRED).end();
+        });
         serveTunnels(server, { secrets, openTarget });
         const webSocketServer = new WebSocketServer({
           server,
--- a/packages/peer/src/tunnel.ts
+++ b/packages/peer/src/tunnel.ts
@@ -80,7 +80,7 @@
     // An answer without a length that is reset must not look like a complete one.
     from.on('error', () => to.resetAndDestroy());
     from.on('close', () => {
-      if (!to.writableEnded) to.destroy();
+      if (!from.readableEnded) to.resetAndDestroy();
     });
   };
   joinOneWay(first, second);
--- a/packages/peer/test/tunnel.feature
+++ b/packages/peer/test/tunnel.feature
@@ -23,6 +23,7 @@
       | server | resets | node   | was reset |
       | server | ends   | node   | has ended |
       | node   | ends   | server | has ended |
+      | relay  | resets | node   | was reset |
 
   Scenario: Bytes are passed on in both directions
     Given a node that passes connections to a server on
--- a/packages/peer/test/tunnel.ts
+++ b/packages/peer/test/tunnel.ts
@@ -11,6 +11,8 @@
   relay: HttpServer;
   nodeSocket: Socket | undefined;
   serverSocket: Socket;
+  /** Of the node that passes the connection on, to the server. */
+  relaySocket: Socket;
   error: Error | undefined;
   receivedBytes: number;
 }
@@ -36,6 +38,7 @@
       if (target !== `${LOOPBACK}:${port}`) throw new Error('not listed');
       const socket = connect(port, LOOPBACK);
       await once(socket, 'connect');
+      this.relaySocket = socket;
       return socket;
     },
   });
@@ -81,10 +84,11 @@
 });
 
 When(
-  /^the (server|node) (resets|ends) its connection$/,
+  /^the (server|node|relay) (resets|ends) its connection$/,
   async function close(this: TunnelWorld, end: string, how: string) {
-    const socket = end === 'server' ? this.serverSocket : this.nodeSocket!;
-    const other = end === 'server' ? this.nodeSocket! : this.serverSocket;
+    const sockets = { server: this.serverSocket, node: this.nodeSocket!, relay: this.relaySocket };
+    const socket = sockets[end as keyof typeof sockets];
+    const other = end === 'node' ? this.serverSocket : this.nodeSocket!;
     other.resume();
     if (how === 'resets') socket.resetAndDestroy();
     else socket.end();
