Take a question to another host that is not needed any more for no answer

A direct connection that opened after other hosts had been asked ended the question, and its end was recorded as if no host reached the server: for a second it was not tried through other hosts, also when the direct way was lost meanwhile.

--- a/packages/targets/src/connector.ts
+++ b/packages/targets/src/connector.ts
@@ -150,7 +150,8 @@
             settleOpen(connection);
           },
           (error: unknown) => {
-            unreachableSince.set(address, clock.monotonic());
+            // A question that has ended since it is not needed any more tells nothing of the server.
+            if (!isSettled) unreachableSince.set(address, clock.monotonic());
             settleFailed(error, tryDirect);
           },
         );
--- a/packages/targets/test/connector.feature
+++ b/packages/targets/test/connector.feature
@@ -44,6 +44,15 @@
     And a connection to the server is opened
     Then it is open directly within 5 ms
 
+  # A question to another host that was not needed any more counted as an answer that nobody reaches the server.
+  Scenario: A server that was reached directly after a while is tried through other hosts again
+    Given the direct way to a server connects after 150 ms
+    And the way through another host takes 200 ms
+    When a connection to the server is opened
+    And the direct way hangs from now on, and the way through another host connects
+    And a connection to the server is opened
+    Then it is open through the other within 300 ms
+
   # A server that has crashed costs the other hosts a bounded number of attempts.
   Scenario: A server that nobody reaches is not tried through other hosts each time
     Given the direct way to a server is refused
--- a/packages/targets/test/connector.ts
+++ b/packages/targets/test/connector.ts
@@ -39,10 +39,14 @@
   return createTestConnection('directly');
 }
 
-async function openThroughHost(world: ConnectorWorld): Promise<TestConnection> {
+async function openThroughHost(
+  world: ConnectorWorld,
+  signal: AbortSignal,
+): Promise<TestConnection> {
   const changed = world;
   changed.hostRequests += 1;
-  await world.clock.delay(HOST_MILLISECONDS);
+  await world.clock.delay(Number(/\d+/.exec(world.other)?.[0] ?? HOST_MILLISECONDS), signal);
+  if (signal.aborted) throw new Error('aborted');
   if (world.other === 'fails') throw new Error('the other host does not reach the server');
   return createTestConnection('through the other');
 }
@@ -61,7 +65,7 @@
   this.connector = createConnector({
     clock: this.clock,
     openDirect: (_address, signal) => openDirect(this, signal),
-    openThroughHost: () => openThroughHost(this),
+    openThroughHost: (_address, signal) => openThroughHost(this, signal),
   });
 });
 
@@ -128,6 +132,14 @@
   },
 );
 
+When(
+  'the direct way hangs from now on, and the way through another host connects',
+  function cut(this: ConnectorWorld) {
+    this.direct = 'hangs';
+    this.other = 'connects';
+  },
+);
+
 Then(
   /^it is open (directly|through the other) within (\d+) ms$/,
   function check(this: ConnectorWorld, way: string, most: string) {
