--- a/packages/targets/src/connector.ts
+++ b/packages/targets/src/connector.ts
@@ -159,10 +159,9 @@
 
       cancelTimeout = clock.after(timeoutMilliseconds, () => {
         directEnded.abort();
-        if (!isSettled)
-          settle(() =>
-            reject(new Error(`no connection to ${address} in ${timeoutMilliseconds} ms`)),
-          );
+        if (isSettled) return;
+        if (hasAskedHost) unreachableSince.set(address, clock.monotonic());
+        settle(() => reject(new Error(`no connection to ${address} in ${timeoutMilliseconds} ms`)));
       });
       if (isOutOfReach(address) && !hasAskedHost) {
         askHost();
--- a/packages/targets/test/connector.feature
+++ b/packages/targets/test/connector.feature
@@ -59,3 +59,10 @@
     And the way through another host fails
     When 20 connections to the server are opened within 500 ms
     Then another host was asked at most 2 times
+
+  Scenario: A server that nobody reaches in time is not tried through other hosts at once again
+    Given the direct way to a server hangs
+    And the way through another host takes 2000 ms
+    When a connection to the server is opened
+    And a connection to the server is opened
+    Then another host was asked at most 1 times
