--- a/packages/routing/src/groups.ts
+++ b/packages/routing/src/groups.ts
@@ -7,7 +7,10 @@
   list(minCrashes: number): readonly CandidateGroup[];
   /** Computes the groups again with the next lookup, as the record has changed. */
   invalidate(): void;
-  /** Reports which parts have become blocked, or are not blocked any more, since the last call. */
+  /**
+   * Reports which parts have become blocked, or are not blocked any more, since the last report. That takes
+   * time in proportion to the whole record, so that it follows after a delay which many calls share.
+   */
   report(): void;
 }
 
@@ -32,6 +35,7 @@
 
 /** Time after which the blocked parts are computed again, as crashes expire. */
 const LIFETIME_MILLISECONDS = 1000;
+const REPORT_DELAY_MILLISECONDS = 50;
 
 /** Creates the groups of one host. */
 export function createBlockedGroups(options: BlockedGroupsOptions): BlockedGroups {
@@ -40,6 +44,7 @@
   const cachedGroups = new Map<number, CachedGroups>();
   let reported = new Map<string, readonly string[]>();
   let version = 0;
+  let isReportPending = false;
 
   const list = (minCrashes: number): readonly CandidateGroup[] => {
     const now = clock.monotonic();
@@ -51,21 +56,30 @@
     return groups;
   };
 
+  const reportChanges = (): void => {
+    const before = reported;
+    reported = new Map(
+      list(reportedMinCrashes).map(({ parts }) => [[...parts].sort().join(), parts]),
+    );
+    reported.forEach((parts, key) => {
+      if (!before.has(key)) onBlocked(parts);
+    });
+    before.forEach((parts, key) => {
+      if (!reported.has(key)) onUnblocked(parts);
+    });
+  };
+
   return {
     list,
     invalidate: () => {
       version += 1;
     },
     report: () => {
-      const before = reported;
-      reported = new Map(
-        list(reportedMinCrashes).map(({ parts }) => [[...parts].sort().join(), parts]),
-      );
-      reported.forEach((parts, key) => {
-        if (!before.has(key)) onBlocked(parts);
-      });
-      before.forEach((parts, key) => {
-        if (!reported.has(key)) onUnblocked(parts);
+      if (isReportPending) return;
+      isReportPending = true;
+      clock.after(REPORT_DELAY_MILLISECONDS, () => {
+        isReportPending = false;
+        reportChanges();
       });
     },
   };
--- a/packages/routing/src/parts.ts
+++ b/packages/routing/src/parts.ts
@@ -116,8 +116,6 @@
 const SERVED_RETENTION_MILLISECONDS = 60_000;
 /** Answers to a part that began within this time of each other are told as one. */
 const SAME_ANSWER_MILLISECONDS = 1000;
-/** Delay of the reports on blocked parts. */
-const REPORT_DELAY_MILLISECONDS = 50;
 const MAX_PROCESSES = 500;
 const CONTENT_PREFIX = 'content:';
 
@@ -150,7 +148,6 @@
   const unmarkedAnswers = createUnmarkedAnswers(clock);
   /** When a server began the last answer that cleared a part. */
   const servedTimes = new Map<string, number>();
-  let isReportPending = false;
 
   const forgetProcess = (process: string): void => {
     processes.delete(process);
@@ -242,20 +239,7 @@
       onCrash(process, update.parts);
       onUpdate(update);
     }
-    reportBlocked();
-  };
-
-  /**
-   * Reports changes of the blocked parts, which takes time in proportion to the whole record, after a
-   * delay that many changes share.
-   */
-  const reportBlocked = (): void => {
-    if (isReportPending) return;
-    isReportPending = true;
-    clock.after(REPORT_DELAY_MILLISECONDS, () => {
-      isReportPending = false;
-      blockedGroups.report();
-    });
+    blockedGroups.report();
   };
 
   /** Marks servers that were lost at the same time, as happens when this host loses its own link. */
@@ -276,7 +260,7 @@
   /** Finds the blocked parts again after losses were removed or the score of a part has changed. */
   const refreshBlocked = (): void => {
     blockedGroups.invalidate();
-    reportBlocked();
+    blockedGroups.report();
   };
 
   const recordLoss = (server: ServerProcess, parts: readonly string[]): void => {
@@ -291,7 +275,7 @@
       onLoss(server);
     } else if (added.length > 0) {
       onUpdate({ process, parts: added, age: 0 });
-      reportBlocked();
+      blockedGroups.report();
     }
   };
 
@@ -376,7 +360,7 @@
       }
       const record = recordProcess(process, at);
       const added = addLoss(process, parts, at);
-      if (record.isConfirmed) reportBlocked();
+      if (record.isConfirmed) blockedGroups.report();
       else confirm(process, record);
       return added.length > 0;
     },
