Decode cold starts, slowdown, answer tokens and the settings that turn new parts on

Cause: the parts of this work need fields of the configuration, of servers' entries and of requests that nothing decoded. Change: optional fields in the catalogue, in calls and in settings; nothing uses them yet.

--- a/packages/catalogue/src/configuration.ts
+++ b/packages/catalogue/src/configuration.ts
@@ -60,6 +60,15 @@
   readonly connectionsPerServer: number;
   /** Present if the servers run models. */
   readonly engine?: EngineProfile;
+  /** Present if the servers are slow and accept few requests for a time after their start. */
+  readonly coldStart?: ColdStart;
+}
+
+/** How long a server of a service is cold after its start, and what it accepts meanwhile. */
+export interface ColdStart {
+  readonly milliseconds: number;
+  /** Requests per second that a cold server accepts from all hosts together. */
+  readonly requestsPerSecond: number;
 }
 
 /** Capacity of each server of a service that runs models. */
--- a/packages/catalogue/src/index.ts
+++ b/packages/catalogue/src/index.ts
@@ -2,6 +2,7 @@
 export {
   ROUTE_KIND,
   type CallerLimits,
+  type ColdStart,
   type EngineProfile,
   type FleetConfiguration,
   type ModelProfile,
--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -18,6 +18,10 @@
   readonly softwareVersion?: string | undefined;
   /** Draining: accepts no new requests and stops soon. */
   readonly leaving: boolean;
+  /** Milliseconds for which the server stays cold, as of the time when it wrote the entry. */
+  readonly coldMilliseconds?: number;
+  /** Whether an operator has asked that nothing be sent to the servers of its failure domain. */
+  readonly evacuated?: boolean;
   /** Unix time of the server's start, in milliseconds; distinguishes restarts with the same id. */
   readonly born: number;
   readonly models: readonly ResidentModel[];
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -78,6 +78,8 @@
   readonly retryWindowMilliseconds: number;
   /** Minimum time between orders of two hosts to the same server. */
   readonly handoverMilliseconds: number;
+  /** Tolerance of the limit on the requests that a cold server receives in a second. */
+  readonly cold?: { readonly overshoot: number; readonly slack: number };
 }
 
 /** Options of {@link startEntry}. */
@@ -110,6 +112,8 @@
   /** Whether this host reaches servers itself, as far as it knows. */
   readonly reachesServers: () => boolean;
   readonly bounds: FleetBounds;
+  /** Whether hosts order waiting requests and weigh servers by capacity and speed. */
+  readonly sharesCapacity?: boolean;
   /** The fleet starts for the first time. */
   readonly isFirstStart: boolean;
   readonly onConfiguration?: (configuration: FleetConfiguration) => void;
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -28,6 +28,12 @@
   readonly requirements?: ModelRequirements;
   /** Tokens of the prompt plus the maximum tokens of the answer, if the caller sent them. */
   readonly tokens?: number;
+  /** Tokens of the prompt, if the caller sent them. */
+  readonly promptTokens?: number;
+  /** Maximum tokens of the answer, if the caller sent them. */
+  readonly maxAnswerTokens?: number;
+  /** Caller's estimate of the tokens of the answer: accurate at the median, but often far off. */
+  readonly expectedAnswerTokens?: number;
   /** Id of the last event that the caller received of an interrupted answer. */
   readonly lastEventId?: string;
   /** Id of the caller's attempt that received the first event of an interrupted answer. */
@@ -59,6 +65,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * Duration of work at this moment relative to the usual one, above 0; changes many times a second.
+   * Absent if the server does not report it.
+   */
+  readonly slowdown?: number;
 }
 
 /** What a server tells this host about itself with an answer. */
