Determine the hubs of a large fleet at most every 50 ms

Cause: every rank of a host determines the unreachable hosts and compares them with the last ones, and each follower ranks all watchers ten times a second. Change: the topology keeps the hubs and their positions for 50 ms; a change of a link or of the reported unreachable hosts ends that. The own rank is computed once for all watchers.

--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -391,8 +391,10 @@
       freshSummaries().some(({ body }) =>
         Object.values(body.watchers).some((hosts) => hosts.some((host) => host !== self)),
       ),
-    countBetterRankedWatchers: (kind) =>
-      watchersOf(kind).filter((host) => topology.rankOf(host) < topology.rankOf(self)).length,
+    countBetterRankedWatchers: (kind) => {
+      const ownRank = topology.rankOf(self);
+      return watchersOf(kind).filter((host) => topology.rankOf(host) < ownRank).length;
+    },
     hasReported: (host) => states.has(host),
     needsRelay,
     primaryHub: () => primaryHub,
--- a/packages/entry/src/topology.ts
+++ b/packages/entry/src/topology.ts
@@ -69,6 +69,21 @@
 const HOSTS_BEFORE_HUBS = 3;
 /** Number of hubs that a host other than a hub is linked to: its primary hub and a standby. */
 const HUBS_PER_MEMBER = 2;
+/**
+ * Time for which the hubs are not checked for being unreachable again. They are asked for with each
+ * message, and a hub is replaced only after a much longer time without a link.
+ */
+const HUBS_CHECK_MILLISECONDS = 50;
+
+/** Hubs of a partial mesh. */
+interface CachedHubs {
+  /** Unreachable hosts, joined. */
+  readonly key: string;
+  /** Time on the monotonic clock at which the unreachable hosts were last determined. */
+  readonly checkedAt: number;
+  readonly hubs: readonly string[];
+  readonly positions: ReadonlyMap<string, number>;
+}
 
 const compareText = (a: string, b: string): number => Number(a > b) - Number(a < b);
 
@@ -151,17 +166,31 @@
   const isReportedOnly = (host: string): boolean => host !== self && !linked.has(host);
 
   /** Hubs as of the last change of the ranking or of the unreachable hosts. */
-  let cached: { readonly key: string; readonly hubs: readonly string[] } | undefined;
+  let cached: CachedHubs | undefined;
 
-  const hubs = (): readonly string[] => {
-    if (isMeshed()) return ranking;
+  const findHubs = (): CachedHubs => {
+    const now = clock.monotonic();
+    if (cached && now - cached.checkedAt < HUBS_CHECK_MILLISECONDS) return cached;
     const unreachable = [...unreachablePeers(), ...reportedUnreachable.filter(isReportedOnly)];
     const key = unreachable.join(' ');
-    if (cached?.key !== key) {
-      const candidates = ranking.filter((host) => !unreachable.includes(host));
-      cached = { key, hubs: chooseHubs(candidates) };
+    if (cached?.key === key) {
+      cached = { ...cached, checkedAt: now };
+      return cached;
     }
-    return cached.hubs;
+    const candidates = ranking.filter((host) => !unreachable.includes(host));
+    const hubsNow = chooseHubs(candidates);
+    const positions = new Map(hubsNow.map((host, position) => [host, position]));
+    cached = { key, checkedAt: now, hubs: hubsNow, positions };
+    return cached;
+  };
+
+  const hubs = (): readonly string[] => (isMeshed() ? ranking : findHubs().hubs);
+  const positionOf = (host: string): number | undefined =>
+    (isMeshed() ? rankByHost : findHubs().positions).get(host);
+
+  /** Has the hubs checked again at their next use. */
+  const expireHubs = (): void => {
+    if (cached) cached = { ...cached, checkedAt: -Infinity };
   };
 
   const hashOf = (host: string): string => {
@@ -208,19 +237,17 @@
       });
     },
     setLinked: (host, isLinked) => {
+      expireHubs();
       unlinkedSince.delete(host);
       if (isLinked) linked.add(host);
       else linked.delete(host);
     },
     unreachablePeers,
     setReportedUnreachable: (hosts) => {
+      if (hosts.length > 0 || reportedUnreachable.length > 0) expireHubs();
       reportedUnreachable = hosts;
     },
-    rankOf: (host) => {
-      const position = hubs().indexOf(host);
-      if (position >= 0) return position;
-      return hubs().length + (rankByHost.get(host) ?? Infinity);
-    },
+    rankOf: (host) => positionOf(host) ?? hubs().length + (rankByHost.get(host) ?? Infinity),
     rankForOrders: () => {
       const all = hubs();
       const position = all.indexOf(self);
@@ -229,7 +256,7 @@
       return ranking.filter((host) => !all.includes(host)).indexOf(self);
     },
     hubs,
-    isHub: () => hubs().includes(self),
+    isHub: () => positionOf(self) !== undefined,
     isMeshed,
     preferredHubs: () => sortByPreference(hubs()),
     peersToLink: (needsAllHubs = false) => {
