Test that a host that has just started joins no streams of two versions (fails)

A host that has seen only servers of one version counted every stream it had not heard of as begun by that version, also right after the loss of all hosts.

--- a/packages/serving/test/streams.feature
+++ b/packages/serving/test/streams.feature
@@ -3,7 +3,8 @@
   A stream may be taken up again at another host for 60 s.
 
   Scenario: While a service has one version, streams are not reported and may go on anywhere
-    Given the servers of a service have the versions "1"
+    Given a fleet that starts for the first time
+    And the servers of a service have the versions "1"
     When version "1" begins the stream "a"
     Then the streams "" are reported
     And the stream "a" goes on at version "1"
@@ -19,6 +20,13 @@
     And the stream "b" goes on at version "2"
     And it is not known where the stream "unknown" goes on
 
+  # After the loss of all hosts, streams that began at one version went on at another one.
+  Scenario: A host that has just started does not know which versions served before it
+    Given the servers of a service have the versions "2"
+    Then it is not known where the stream "unknown" goes on
+    When 61 s go by
+    Then the stream "unknown" goes on at version "2"
+
   Scenario: A version that has just gone may have begun a stream
     Given the servers of a service have the versions "1"
     And 1 s go by
--- a/packages/serving/test/streams.ts
+++ b/packages/serving/test/streams.ts
@@ -15,15 +15,25 @@
 const SERVICE = 'llm';
 const MAX_STREAMS = 20;
 
+function startHost(world: StreamsWorld, more: { readonly isFirstStart?: boolean } = {}): void {
+  const started = world;
+  started.versions = createStreamVersions({
+    clock: world.clock,
+    maxStreams: MAX_STREAMS,
+    onBegun: ({ attempt }) => world.reported.push(attempt),
+    ...more,
+  });
+}
+
 Before({ tags: '@streams' }, function begin(this: StreamsWorld) {
   this.clock = createManualClock();
   this.reported = [];
   this.begun = [];
-  this.versions = createStreamVersions({
-    clock: this.clock,
-    maxStreams: MAX_STREAMS,
-    onBegun: ({ attempt }) => this.reported.push(attempt),
-  });
+  startHost(this);
+});
+
+Given('a fleet that starts for the first time', function start(this: StreamsWorld) {
+  startHost(this, { isFirstStart: true });
 });
 
 Given(
