Record software versions in the store, so that streams of two versions are not joined

After the loss of all hosts a new host counted every stream as begun by the version that it saw. Versions are now recorded before streams begin at them, and a host that has not heard of a stream reads the record before it derives the version.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -57,6 +57,7 @@
 import { createServerRelays } from './relays.js';
 import { createKindFollower } from './source.js';
 import { countRunningRequests } from './totals.js';
+import { createVersionsKeeper } from './versions.js';
 
 /** Location and capacity of a host, and the address at which it accepts links. */
 export interface EntryHost {
@@ -226,6 +227,21 @@
   const streams = createStreamVersions({
     clock,
     onBegun: (stream) => fleet.broadcast(MESSAGE.BEGUN, stream),
+    isFirstStart: options.isFirstStart,
+    confirmHistory: () => versions.confirm(),
+  });
+  const versions = createVersionsKeeper({
+    store,
+    clock,
+    logger,
+    random,
+    eras,
+    streams,
+    isFirstStart: options.isFirstStart,
+    watcherRank: () =>
+      serverFollower.isWatching() ? gossip.countBetterRankedWatchers(kinds.servers) : undefined,
+    doAllHostsReport: () => gossip.linkedFraction() >= 1,
+    onRecorded: (update) => fleet.broadcast(MESSAGE.VERSIONS, update),
   });
 
   const directory = createServerDirectory({
@@ -235,6 +251,7 @@
       limits.updateServers(view);
       promptParts.updateServers(view);
       streams.updateServers(view);
+      versions.updateServers(view);
       leadership.setServers(view);
       onServers(view);
       waits.endReadyWaits(isLoaded);
@@ -402,6 +419,7 @@
     reserve,
     directory,
     streams,
+    versions,
     receiveOutlook,
   });
 
@@ -432,6 +450,8 @@
     onLink: (link) => {
       limits.listUpdates().forEach((update) => link.send(MESSAGE.LIMIT, update));
       promptParts.listUpdates().forEach((update) => link.send(MESSAGE.PROMPT_PARTS, update));
+      const recorded = versions.latest();
+      if (recorded) link.send(MESSAGE.VERSIONS, recorded);
       gossip.sendInitialState(link);
     },
     onLost: (name) => {
@@ -533,6 +553,7 @@
     stop: async () => {
       stopStateReports();
       stopWantsReports();
+      versions.stop();
       stopping.abort();
       await Promise.allSettled([...tasks, leadershipTask]);
       fleet.stop();
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -24,9 +24,11 @@
   type PullMessage,
   type StatesMessage,
   type UnloadingMessage,
+  type VersionsMessage,
   type WantsMessage,
 } from './messages.js';
 import type { KindFollower } from './source.js';
+import type { VersionsKeeper } from './versions.js';
 
 /** Options of {@link createHandlers}. */
 export interface HandlersOptions {
@@ -42,6 +44,7 @@
   readonly reserve: (request: ReservationRequest) => Reservation;
   readonly directory: ServerDirectory;
   readonly streams: StreamVersions;
+  readonly versions: VersionsKeeper;
   readonly receiveOutlook: (outlook: readonly Outlook[]) => void;
 }
 
@@ -59,6 +62,7 @@
     reserve,
     directory,
     streams,
+    versions,
     receiveOutlook,
   } = options;
 
@@ -105,6 +109,11 @@
       streams.applyReport(stream);
       fleet().relay(MESSAGE.BEGUN, body as BegunMessage, from.host);
     },
+    [MESSAGE.VERSIONS]: (body, from) => {
+      const message = body as VersionsMessage;
+      // Several hosts may tell the same; each host passes it on once.
+      if (versions.receive(message)) fleet().relay(MESSAGE.VERSIONS, message, from.host);
+    },
     [MESSAGE.DEPARTURE]: (body, from) => {
       const departure = body as DepartureMessage;
       // Several hosts may have told the same; each host passes it on once.
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -47,3 +47,10 @@
   type TopologyOptions,
 } from './topology.js';
 export { createRunningTotals, type RunningRequests, type RunningTotals } from './totals.js';
+export {
+  createVersionsKeeper,
+  VERSIONS_KIND,
+  type VersionsKeeper,
+  type VersionsKeeperOptions,
+  type VersionsUpdate,
+} from './versions.js';
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -4,6 +4,7 @@
 import type { BegunStream, LimitUpdate } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
 import type { RunningRequests } from './totals.js';
+import type { VersionsUpdate } from './versions.js';
 
 /** Types of the messages between the hosts of a fleet. */
 export const MESSAGE = {
@@ -27,6 +28,8 @@
   UNLOADING: 'unloading',
   /** A server has sent the first event of a stream, while a service has several versions. */
   BEGUN: 'begun',
+  /** The record of the software versions has changed. */
+  VERSIONS: 'versions',
   /** A server has told the sender that it is leaving. */
   DEPARTURE: 'departure',
   /** A server has named a limit on the requests of all hosts, or has answered without one. */
@@ -165,6 +168,9 @@
 /** Body of {@link MESSAGE.BEGUN}. */
 export type BegunMessage = BegunStream & Relayed;
 
+/** Body of {@link MESSAGE.VERSIONS}. */
+export type VersionsMessage = VersionsUpdate & Relayed;
+
 /** Body of {@link MESSAGE.CHANGES}. */
 export interface ChangesMessage extends Relayed {
   readonly kind: string;
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -21,7 +21,6 @@
 import { createServerPreparation, type ServerPreparationOptions } from './prepare.js';
 import type { ServerState } from './servers.js';
 import { createTargetFailedRefusal, createNoServerRefusal } from './refusals.js';
-import type { StreamVersions } from './streams.js';
 
 /** An admitted request that has not been answered yet. */
 export interface ActiveRequest<SomeCall extends Call> {
@@ -60,8 +59,6 @@
   readonly budget: RetryBudget;
   readonly crashGuard: CrashGuard;
   readonly send: SendCall<SomeCall>;
-  /** Which software version began each stream. */
-  readonly streams: StreamVersions;
   /** Called with what a server tells about itself, before its answer is passed on. */
   readonly onNotice?: (server: ServerEntry, notice: ServerNotice) => void;
   /** @returns the refusal of all requests that have not run yet while this host is stopping */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -60,10 +60,13 @@
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
 export {
   createStreamVersions,
+  UNKNOWN_VERSION_CAUSE,
   type BegunStream,
   type StreamRequirement,
   type StreamVersions,
   type StreamVersionsOptions,
+  type UnknownVersionCause,
+  type VersionHistory,
 } from './streams.js';
 export { createServerStates, type ServerState, type ServerStates } from './servers.js';
 export {
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -1,4 +1,5 @@
 /** Selects the server of the next attempt of a request, and waits until it can receive the request. */
+import { ROUTE_KIND } from '@bulrushspar/catalogue';
 import { startStopwatch, type Clock } from '@bulrushspar/clock';
 import type { Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -16,6 +17,7 @@
   createWaitRefusal,
 } from './refusals.js';
 import type { ServerState, ServerStates } from './servers.js';
+import type { StreamVersions } from './streams.js';
 import { WAIT_END, type ModelWaits } from './waits.js';
 
 /** Options of {@link createServerPreparation}. */
@@ -28,6 +30,8 @@
   readonly servers: ServerStates;
   readonly waits: ModelWaits;
   readonly limits: ServerLimits;
+  /** Which software version began each stream. */
+  readonly streams: StreamVersions;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
 }
@@ -47,7 +51,7 @@
   options: ServerPreparationOptions,
 ): PrepareServer<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, limits, ensureAdapter } = options;
+  const { waits, limits, streams, ensureAdapter } = options;
 
   /**
    * Returns the longest time that a request waits for the limit of a server: it must leave time to be
@@ -69,9 +73,30 @@
     return all.filter(({ entry }) => entry.softwareVersion === requiredVersion);
   };
 
-  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) =>
+  /** Whether the request may begin a stream that its caller can take up again at another host. */
+  const beginsStream = ({
+    admitted: { route },
+    requiredVersion,
+  }: ActiveRequest<SomeCall>): boolean =>
+    route.kind === ROUTE_KIND.STREAM && route.resumable && requiredVersion === undefined;
+
+  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) => {
+    const candidates = listServers(request);
+    if (!beginsStream(request)) return selectFrom(candidates, request, allowTried);
+    const settled = candidates.filter(({ entry }) => streams.mayBegin(entry));
+    return (
+      selectFrom(settled, request, allowTried) ??
+      (settled.length < candidates.length ? selectFrom(candidates, request, allowTried) : undefined)
+    );
+  };
+
+  const selectFrom = (
+    candidates: readonly ServerState[],
+    request: ActiveRequest<SomeCall>,
+    allowTried: boolean,
+  ) =>
     selectServer({
-      candidates: listServers(request),
+      candidates,
       requirements: request.call.requirements,
       failureDomain,
       excluded: allowTried ? new Set() : request.triedServers,
@@ -117,9 +142,15 @@
     // Loads are not planned by version, so that a wait might never end.
     if (request.requiredVersion !== undefined) {
       const limited = limitedMilliseconds(request);
-      throw limited === undefined
-        ? createVersionGoneRefusal(request.requiredVersion)
-        : createServersLimitedRefusal(admitted.service, limited);
+      if (limited !== undefined) throw createServersLimitedRefusal(admitted.service, limited);
+      const { listed } = streams.describeVersions(admitted.service);
+      logger.info('version of a stream is gone', {
+        request: request.call.id,
+        service: admitted.service,
+        began: request.requiredVersion,
+        listed,
+      });
+      throw createVersionGoneRefusal(request.requiredVersion, listed);
     }
     const sinceStart = startStopwatch(clock);
     const { route } = admitted;
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -1,6 +1,7 @@
 /** Creates the refusals that end a request. */
 import { createRefusal, errorMessage, RAN, REFUSAL, type Refusal } from '@bulrushspar/errors';
 import type { ModelRequirements } from './call.js';
+import type { UnknownVersionCause } from './streams.js';
 import { WAIT_END, type WaitResult } from './waits.js';
 
 /** Time until a new leader may load models after a change of the leader. */
@@ -101,18 +102,23 @@
   );
 
 /** Creates the refusal of a stream that must go on at a software version that no server has. */
-export const createVersionGoneRefusal = (softwareVersion: string): Refusal =>
+export const createVersionGoneRefusal = (softwareVersion: string, listed: string): Refusal =>
   createNoCapacityRefusal(
     503,
-    `no server of software version "${softwareVersion}", which began the stream, can go on with it`,
+    `no server of software version "${softwareVersion}", which began the stream, can go on with it; ` +
+      `listed versions: "${listed}"`,
     NO_SERVER_RETRY_SECONDS,
   );
 
 /** Creates the refusal of a stream of which this host does not know which version began it. */
-export const createVersionUnknownRefusal = (): Refusal =>
+export const createVersionUnknownRefusal = (
+  cause: UnknownVersionCause,
+  { listed, recent }: { readonly listed: string; readonly recent: string },
+): Refusal =>
   createNoCapacityRefusal(
     503,
-    'it is not known which software version began the stream',
+    `it is not known which software version began the stream (${cause}); ` +
+      `versions in the last minute: "${recent}", listed: "${listed}"; retry, or begin the request anew`,
     NO_SERVER_RETRY_SECONDS,
   );
 
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -109,11 +109,24 @@
   };
 
   /** Returns the software version at which a stream must go on that the caller takes up again. */
-  const findRequiredVersion = (call: SomeCall, { service }: AdmittedRequest) => {
+  const findRequiredVersion = async (
+    call: SomeCall,
+    { service }: AdmittedRequest,
+    signal: AbortSignal,
+  ): Promise<string | undefined> => {
     if (call.resumes === undefined || call.lastEventId === undefined) return undefined;
-    const requirement = streams.requirementOf(service, call.resumes);
-    if (!requirement.isKnown) throw createVersionUnknownRefusal();
-    return requirement.softwareVersion;
+    const requirement = await streams.findRequirement(service, call.resumes);
+    if (signal.aborted) throw signal.reason;
+    if (requirement.isKnown) return requirement.softwareVersion;
+    const versions = streams.describeVersions(service);
+    logger.info('version of a stream is unknown', {
+      request: call.id,
+      began: call.resumes,
+      service,
+      cause: requirement.cause,
+      ...versions,
+    });
+    throw createVersionUnknownRefusal(requirement.cause, versions);
   };
 
   const serveAdmitted = async (
@@ -165,7 +178,8 @@
     };
     if (call.requirements) demand.recordRequests(call.requirements.model, 1);
     try {
-      Object.assign(request, { requiredVersion: findRequiredVersion(call, admitted) });
+      const requiredVersion = await findRequiredVersion(call, admitted, signal);
+      Object.assign(request, { requiredVersion });
       const state = await attemptRunner.run(request);
       if (request.begunAnswer) crashGuard.recordServed(request, state.entry, request.begunAnswer);
       logger.info('served', {
