--- a/packages/catalogue/src/index.ts
+++ b/packages/catalogue/src/index.ts
@@ -15,6 +15,7 @@
 } from './configuration.js';
 export { createRouteTable, pickWeightedShare, type RouteTable } from './routes.js';
 export {
+  acceptsRequests,
   createServerDirectory,
   type ServerDeparture,
   type ServerDirectory,
--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -57,6 +57,8 @@
    * @returns whether this was not known
    */
   recordLeaving(departure: ServerDeparture): boolean;
+  /** Replaces the failure domains to whose servers nothing may be sent; these need not be known. */
+  setEvacuatedDomains(domains: ReadonlySet<string>): void;
   current(): ServerView;
 }
 
@@ -75,6 +77,12 @@
 /** Number of departures from which those of servers that are not listed any more are dropped. */
 const MAX_DEPARTURES = 1000;
 
+/** Whether new requests may be sent to a server, as far as its entry tells. */
+export const acceptsRequests = ({
+  leaving,
+  evacuated,
+}: Pick<ServerEntry, 'leaving' | 'evacuated'>): boolean => !leaving && evacuated !== true;
+
 const isNotOlder = (entry: ServerEntry, known: ServerEntry | undefined): boolean =>
   known === undefined || entry.born >= known.born;
 
@@ -92,6 +100,15 @@
       ? { ...entry, leaving: true }
       : entry;
 
+  let evacuatedDomains: ReadonlySet<string> = new Set();
+
+  const applyEvacuation = (entry: ServerEntry): ServerEntry => {
+    const evacuated = evacuatedDomains.has(entry.failureDomain);
+    return evacuated === (entry.evacuated ?? false) ? entry : { ...entry, evacuated };
+  };
+
+  const applyMarks = (entry: ServerEntry): ServerEntry => applyEvacuation(applyDeparture(entry));
+
   const isWithinOutageGrace = (): boolean =>
     sinceOutage !== undefined && sinceOutage() < outageGraceMilliseconds;
 
@@ -99,11 +116,11 @@
     const merged = new Map<string, ServerEntry>();
     listed.forEach((entry, id) => {
       const known = servers.get(id);
-      merged.set(id, applyDeparture(isNotOlder(entry, known) ? entry : known!));
+      merged.set(id, applyMarks(isNotOlder(entry, known) ? entry : known!));
     });
     if (isWithinOutageGrace()) {
       servers.forEach((entry, id) => {
-        if (!merged.has(id)) merged.set(id, applyDeparture(entry));
+        if (!merged.has(id)) merged.set(id, applyMarks(entry));
       });
     }
     if (leavingBorn.size > MAX_DEPARTURES) {
@@ -138,6 +155,10 @@
       mergeListed();
       return true;
     },
+    setEvacuatedDomains: (domains) => {
+      evacuatedDomains = new Set(domains);
+      mergeListed();
+    },
     current: () => servers,
   };
 }
--- a/packages/catalogue/test/catalogue.feature
+++ b/packages/catalogue/test/catalogue.feature
@@ -44,3 +44,23 @@
       | s1@12 | shows "s1@10 s2@20"                       | s1@10   |
       | s3@30 | shows "s1@10 s3@30"                       | s3@30   |
       | s1@10 | is back after an outage and shows "s2@20" | s1@10   |
+
+  # Guards against a mark that is lost with an update, an outage or a restoration of the list.
+  Scenario Outline: The servers of an evacuated failure domain are marked until the evacuation ends
+    Given a directory of servers "s1@10 s2@20 s3@30/d2"
+    When the failure domains "<domains>" are evacuated
+    And the list <change>
+    Then the evacuated servers are "<evacuated>"
+    When the failure domains "" are evacuated
+    Then the evacuated servers are ""
+
+    Examples:
+      | domains | change                                             | evacuated               |
+      | d2      | shows "s1@10 s2@20 s3@30/d2"                       | s3@30                   |
+      | d1 d2   | shows "s1@10 s2@20 s3@30/d2"                       | s1@10 s2@20 s3@30       |
+      | d3      | shows "s1@10 s4@40/d3"                             | s4@40                   |
+      | d2      | shows "s1@10 s3@31/d2"                             | s3@31                   |
+      | d2      | shows "s3@30/d1"                                   |                         |
+      | d2      | is back after an outage and shows "s1@10"          | s3@30                   |
+      | d2      | comes back from an older copy and shows "s1@10"    | s3@30                   |
+      | d1      | comes back from an older copy and shows "s1@9"     | s1@10 s2@20             |
--- a/packages/catalogue/test/catalogue.ts
+++ b/packages/catalogue/test/catalogue.ts
@@ -51,12 +51,12 @@
 const parseEntries = (list: string): Map<string, ServerEntry> =>
   new Map(
     list.split(' ').map((text) => {
-      const [id = '', born] = text.split('@');
+      const [id = '', born, failureDomain = 'd1'] = text.split(/[@/]/);
       const entry: ServerEntry = {
         id,
         service: 'llm',
         address: '127.0.0.1:1',
-        failureDomain: 'd1',
+        failureDomain,
         slots: 1,
         leaving: false,
         born: Number(born),
@@ -78,14 +78,15 @@
 );
 
 When(
-  /^the list (is back after an outage and )?shows "([^"]*)"(?: for (\d+) s)?$/,
+  /^the list (is back after an outage and |comes back from an older copy and )?shows "([^"]*)"(?: for (\d+) s)?$/,
   async function updateList(
     this: CatalogueWorld,
     outage: string | null,
     list: string,
     seconds: string | null,
   ) {
-    if (outage) this.directory.recordOutage();
+    if (outage?.startsWith('is back')) this.directory.recordOutage();
+    if (outage?.startsWith('comes back')) this.directory.recordRollback();
     this.directory.update(parseEntries(list));
     await this.clock.advance(Number(seconds ?? 0) * SECOND_MILLISECONDS);
   },
@@ -106,3 +107,21 @@
   const leaving = [...this.directory.current().values()].filter((entry) => entry.leaving);
   assert.equal(leaving.map(({ id, born }) => `${id}@${born}`).join(' '), list);
 });
+
+When(
+  'the failure domains {string} are evacuated',
+  function evacuate(this: CatalogueWorld, list: string) {
+    this.directory.setEvacuatedDomains(new Set(list.split(' ').filter((domain) => domain !== '')));
+  },
+);
+
+Then('the evacuated servers are {string}', function check(this: CatalogueWorld, list: string) {
+  const evacuated = [...this.directory.current().values()].filter((entry) => entry.evacuated);
+  assert.equal(
+    evacuated
+      .map(({ id, born }) => `${id}@${born}`)
+      .sort()
+      .join(' '),
+    list,
+  );
+});
