--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
 import {
+  acceptsRequests,
   createServerDirectory,
   type FleetConfiguration,
   type ServerEntry,
@@ -38,6 +39,7 @@
   type ObjectView,
 } from '@bulrushspar/store';
 import { createCrashWatch } from './crashes.js';
+import { createEvacuations, type Evacuation, type Evacuations } from './evacuations.js';
 import { createFleet, type Fleet } from './fleet.js';
 import { createForwarding, type Forwarding } from './forward.js';
 import { createGossip } from './gossip.js';
@@ -91,14 +93,20 @@
   readonly store: ObjectStore;
   /** Era of the store, if it can be restored from an older copy. */
   readonly eras?: EraTracker;
-  /** Kinds of the platform's objects for the configuration and the servers. */
-  readonly kinds: { readonly configuration: string; readonly servers: string };
+  /** Kinds of the platform's objects. */
+  readonly kinds: {
+    readonly configuration: string;
+    readonly servers: string;
+    readonly evacuations: string;
+  };
   /** @returns undefined if there is no valid configuration */
   readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
   /** @returns the version that the operators gave a stored configuration; 0 if it has none */
   readonly rankConfiguration: (value: unknown) => number;
   /** @returns undefined if the entry does not describe a usable server */
   readonly decodeServer: (name: string, value: unknown) => ServerEntry | undefined;
+  /** Decodes an operator's request to evacuate a failure domain; it is obeyed whatever its value. */
+  readonly decodeEvacuation: (name: string, value: unknown) => Evacuation;
   /**
    * Creates the client for reports and orders.
    * @param onNotice called with what a server tells about itself
@@ -130,6 +138,8 @@
   countRelayed(): number;
   /** Resets the connections that this host passes on, as it ends before they do. */
   resetRelayed(): void;
+  /** Whether nothing may be sent to the server at an address, because of an evacuation. */
+  isEvacuated(address: string): boolean;
   /** Whether the host has a configuration and accepts new requests. */
   isReady(): boolean;
   /** Refuses new requests from now on. */
@@ -153,6 +163,11 @@
 const HOSTS_WATCH_SECONDS = 3;
 /** All hosts write their records when a fleet starts; few messages carry them to the others. */
 const HOSTS_BATCH_MILLISECONDS = 500;
+/**
+ * Longest wait of a watch on the evacuations. Half of the time within which they must be obeyed, since a
+ * watch that the store does not answer is noticed one second after it.
+ */
+const EVACUATIONS_WATCH_SECONDS = 2;
 /** Servers write often: changes within this time are read with one call to the store. */
 const SERVER_BATCH_MILLISECONDS = 50;
 
@@ -213,13 +228,20 @@
   /** Whether requests need not wait for a load of the model; the leader plans loads by the same rule. */
   const isLoaded = (model: string): boolean => {
     const isLimited = ({ entry }: ServerState): boolean =>
-      entry.leaving || limits.limitOf(entry.id) !== undefined;
+      !acceptsRequests(entry) || limits.limitOf(entry.id) !== undefined;
     return [...servers.all()].some(
       (state) =>
         servers.canServeModel(state, model) &&
         (!isLimited(state) || servers.ofService(state.entry.service).every(isLimited)),
     );
   };
+  /** Whether all servers that could load the model are in evacuated failure domains. */
+  const isEvacuatedModel = (model: string): boolean => {
+    const capable = [...servers.all()].filter(({ entry }) =>
+      configuration?.services.get(entry.service)?.engine?.models.has(model),
+    );
+    return capable.length > 0 && capable.every(({ entry }) => entry.evacuated);
+  };
   const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
@@ -236,11 +258,30 @@
       promptParts.updateServers(view);
       streams.updateServers(view);
       leadership.setServers(view);
+      evacuations.updateServers(view);
       onServers(view);
+      if (evacuations.domains().size > 0) waits.endEvacuatedWaits(isEvacuatedModel);
       waits.endReadyWaits(isLoaded);
     },
   });
 
+  /** Configuration that is not in force before the evacuations are known. */
+  let heldConfiguration: ObjectView<unknown> | undefined;
+  const evacuations: Evacuations = createEvacuations({
+    clock,
+    logger,
+    metrics: options.metrics,
+    eras,
+    decode: options.decodeEvacuation,
+    onChange: (domains) => {
+      directory.setEvacuatedDomains(domains);
+      if (!heldConfiguration) return;
+      const held = heldConfiguration;
+      heldConfiguration = undefined;
+      applyConfiguration(held);
+    },
+  });
+
   /** Applies what a server has told about itself with an answer to this host. */
   const applyNotice = ({ id, born }: ServerEntry, notice: ServerNotice): void => {
     const { isLeaving, closedMilliseconds, limitPerSecond } = notice;
@@ -255,23 +296,30 @@
     servers.close(id, closedMilliseconds);
   };
 
-  /** Sends reports and orders, except to servers that accept nothing from this host for a time. */
+  /** Sends reports and orders, except to servers that must receive nothing from this host. */
   const engineControl: EngineControl = options.createEngineControl(applyNotice);
   const pausingControl: EngineControl = {
     report: async (server) => {
       if (servers.closedMilliseconds(server.id) > 0)
         throw new Error(`server ${server.id} accepts nothing from this host for a time`);
+      if (evacuations.covers(server.failureDomain))
+        throw new Error(`server ${server.id} is in an evacuated failure domain`);
       charge(server);
       return engineControl.report(server);
     },
     order: async (server, order) => {
       if (servers.closedMilliseconds(server.id) > 0) return ORDER_OUTCOME.REJECTED;
+      if (evacuations.covers(server.failureDomain)) return ORDER_OUTCOME.REJECTED;
       charge(server);
       return engineControl.order(server, order);
     },
   };
 
   const applyConfiguration = (view: ObjectView<unknown>): void => {
+    if (!evacuations.isKnown()) {
+      heldConfiguration = view;
+      return;
+    }
     const rank = Math.max(...[...view.values()].map(({ value }) => rankConfiguration(value)));
     if (configuration && rank <= configuration.version) return;
     const next = options.decodeConfiguration(view);
@@ -331,7 +379,14 @@
     batchMilliseconds: HOSTS_BATCH_MILLISECONDS,
     onView: (view) => fleet.updateHosts(view),
   });
-  const followers = [configurationFollower, serverFollower, hostFollower];
+  const evacuationFollower = createKindFollower({
+    ...followerOptions,
+    kind: kinds.evacuations,
+    watchSeconds: EVACUATIONS_WATCH_SECONDS,
+    awaitsFirstView: awaitsHubView,
+    onView: evacuations.applyView,
+  });
+  const followers = [configurationFollower, serverFollower, hostFollower, evacuationFollower];
 
   const receiveOutlook = (outlook: readonly Outlook[]): void => waits.applyOutlook(outlook);
 
@@ -402,6 +457,7 @@
     reserve,
     directory,
     streams,
+    evacuations,
     receiveOutlook,
   });
 
@@ -411,8 +467,9 @@
     listHosts: () => fleet.otherHosts(),
     openTunnel: (peer, address, signal) => fleet.links.openTunnel(peer, address, signal),
     servers: () => directory.current(),
+    isEvacuated: ({ failureDomain }) => evacuations.covers(failureDomain),
     openDirect: options.openDirect,
-    canOpenForHosts: () => !isRefusing && options.reachesServers(),
+    canOpenForHosts: () => !isRefusing && evacuations.isKnown() && options.reachesServers(),
   });
 
   const fleet: Fleet = createFleet({
@@ -432,6 +489,8 @@
     onLink: (link) => {
       limits.listUpdates().forEach((update) => link.send(MESSAGE.LIMIT, update));
       promptParts.listUpdates().forEach((update) => link.send(MESSAGE.PROMPT_PARTS, update));
+      const lostEvacuations = evacuations.listLost();
+      if (lostEvacuations.length > 0) link.send(MESSAGE.LOST_EVACUATIONS, lostEvacuations);
       gossip.sendInitialState(link);
     },
     onLost: (name) => {
@@ -483,6 +542,7 @@
     streams,
     onNotice: applyNotice,
     ensureAdapter,
+    isEvacuated: ({ failureDomain }) => evacuations.covers(failureDomain),
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
   });
 
@@ -498,6 +558,7 @@
   const tasks = [
     configurationFollower.run(stopping.signal),
     serverFollower.run(stopping.signal),
+    evacuationFollower.run(stopping.signal),
     fleet.links.open().then(() => hostFollower.run(stopping.signal)),
   ];
   const leadershipTask = leadership.run(AbortSignal.any([stopping.signal, releasing.signal]));
@@ -520,6 +581,11 @@
     openThroughHost: relays.openThroughHost,
     countRelayed: relays.countRelayed,
     resetRelayed: relays.resetRelayed,
+    isEvacuated: (address) =>
+      evacuations.domains().size > 0 &&
+      [...directory.current().values()].some(
+        (server) => server.address === address && server.evacuated === true,
+      ),
     isReady: () => configuration !== undefined && !isRefusing,
     refuseNewRequests: () => {
       isRefusing = true;
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -5,6 +5,7 @@
 import type { PromptPartTracker } from '@bulrushspar/routing';
 import type { ServerLimits, ServerStates, StreamVersions } from '@bulrushspar/serving';
 import type { Reservation, ReservationRequest } from '@bulrushspar/shares';
+import type { Evacuations } from './evacuations.js';
 import type { Fleet } from './fleet.js';
 import type { Forwarding } from './forward.js';
 import type { Gossip } from './gossip.js';
@@ -19,6 +20,7 @@
   type ForwardedRequest,
   type HostState,
   type LimitMessage,
+  type LostEvacuationsMessage,
   type OutlookMessage,
   type PromptPartsMessage,
   type PullMessage,
@@ -42,6 +44,7 @@
   readonly reserve: (request: ReservationRequest) => Reservation;
   readonly directory: ServerDirectory;
   readonly streams: StreamVersions;
+  readonly evacuations: Pick<Evacuations, 'applyLost'>;
   readonly receiveOutlook: (outlook: readonly Outlook[]) => void;
 }
 
@@ -59,6 +62,7 @@
     reserve,
     directory,
     streams,
+    evacuations,
     receiveOutlook,
   } = options;
 
@@ -116,6 +120,7 @@
       // Several hosts may have told the same; each host passes it on once.
       if (limits.applyUpdate(message)) fleet().relay(MESSAGE.LIMIT, message, from.host);
     },
+    [MESSAGE.LOST_EVACUATIONS]: (body) => evacuations.applyLost(body as LostEvacuationsMessage),
     [MESSAGE.RESERVATION]: (body) => reserve(body as ReservationRequest),
     [MESSAGE.CHANGES]: (body, from) => {
       const message = body as ChangesMessage;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,6 +7,13 @@
   type FleetBounds,
 } from './entry.js';
 export { createCrashWatch, type CrashWatchOptions } from './crashes.js';
+export {
+  createEvacuations,
+  type Evacuation,
+  type Evacuations,
+  type EvacuationsOptions,
+  type LostEvacuation,
+} from './evacuations.js';
 export { createFleet, type Fleet, type FleetOptions } from './fleet.js';
 export { createGossip, type Gossip, type GossipOptions } from './gossip.js';
 export {
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -3,6 +3,7 @@
 import type { PromptPartUpdate } from '@bulrushspar/routing';
 import type { BegunStream, LimitUpdate } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
+import type { LostEvacuation } from './evacuations.js';
 import type { RunningRequests } from './totals.js';
 
 /** Types of the messages between the hosts of a fleet. */
@@ -31,6 +32,8 @@
   DEPARTURE: 'departure',
   /** A server has named a limit on the requests of all hosts, or has answered without one. */
   LIMIT: 'limit',
+  /** Evacuations that the sender obeys although the restored store lacks them. */
+  LOST_EVACUATIONS: 'lost-evacuations',
   /** Requests a reservation at a server that has named a limit; sent to the leader. */
   RESERVATION: 'reservation',
   /** Changes to the objects of a kind; sent by the hosts that watch the store. */
@@ -162,6 +165,9 @@
 /** Body of {@link MESSAGE.LIMIT}. */
 export type LimitMessage = LimitUpdate & Relayed;
 
+/** Body of {@link MESSAGE.LOST_EVACUATIONS}. */
+export type LostEvacuationsMessage = readonly LostEvacuation[];
+
 /** Body of {@link MESSAGE.BEGUN}. */
 export type BegunMessage = BegunStream & Relayed;
 
--- a/packages/entry/src/relays.ts
+++ b/packages/entry/src/relays.ts
@@ -1,6 +1,6 @@
 /** Connections to servers that hosts open for each other. */
 import type { Socket } from 'node:net';
-import type { ServerView } from '@bulrushspar/catalogue';
+import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
 import type { PeerAddress } from '@bulrushspar/peer';
 
 /** A host that can be asked for connections. */
@@ -29,6 +29,8 @@
   readonly openTunnel: (host: PeerAddress, address: string, signal: AbortSignal) => Promise<Socket>;
   /** @returns the listed servers */
   readonly servers: () => ServerView;
+  /** Whether nothing may be sent to a server; none is evacuated by default. */
+  readonly isEvacuated?: (server: ServerEntry) => boolean;
   /** Opens a connection from this host itself. */
   readonly openDirect: (address: string, signal: AbortSignal) => Promise<Socket>;
   /** Whether this host reaches servers and is not about to end. */
@@ -45,7 +47,7 @@
 /** Creates the relays of one host. */
 export function createServerRelays(options: ServerRelaysOptions): ServerRelays {
   const { random, failureDomain, listHosts, openTunnel, servers } = options;
-  const { openDirect, canOpenForHosts } = options;
+  const { openDirect, canOpenForHosts, isEvacuated = () => false } = options;
   let lastHost: string | undefined;
   const relayed = new Set<Socket>();
 
@@ -81,9 +83,19 @@
     },
     openForHost: async (target) => {
       if (!canOpenForHosts()) throw new Error('this host opens no connections for others now');
-      const isListed = [...servers().values()].some(({ address }) => address === target);
-      if (!isListed) throw new Error(`${target} is not the address of a listed server`);
+      const server = [...servers().values()].find(({ address }) => address === target);
+      if (!server) throw new Error(`${target} is not the address of a listed server`);
+      const requireServerInUse = (): void => {
+        if (isEvacuated(server)) throw new Error(`${target} is in an evacuated failure domain`);
+      };
+      requireServerInUse();
       const socket = await openDirect(target, AbortSignal.timeout(SERVER_TIMEOUT_MILLISECONDS));
+      try {
+        requireServerInUse();
+      } catch (error) {
+        socket.destroy();
+        throw error;
+      }
       relayed.add(socket);
       socket.once('close', () => relayed.delete(socket));
       return socket;
--- a/packages/loading/src/change.ts
+++ b/packages/loading/src/change.ts
@@ -72,6 +72,10 @@
     const { pendingOrder } = state;
     clock.after(expectedMilliseconds + LOAD_OVERDUE_MILLISECONDS, () => {
       if (state.pendingOrder !== pendingOrder || !holdsLease()) return;
+      if (state.entry.evacuated) {
+        pollOverdueLoad(state, LOAD_OVERDUE_MILLISECONDS);
+        return;
+      }
       control
         .report(state.entry)
         .then((report) => applyReport(state, report, clock))
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -1,4 +1,4 @@
-import type { EngineProfile, ServerView } from '@bulrushspar/catalogue';
+import { acceptsRequests, type EngineProfile, type ServerView } from '@bulrushspar/catalogue';
 import { runPeriodically, type Clock, type Stop } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -253,7 +253,7 @@
   const planService = (service: string, wants: readonly Want[]): Outlook[] => {
     const engine = profile(service)!;
     const remainingServers = [...serverStates.values()].filter(
-      ({ entry }) => entry.service === service && !entry.leaving,
+      ({ entry }) => entry.service === service && acceptsRequests(entry),
     );
     const unlimitedServers = remainingServers.filter(({ entry }) => !isLimited(entry.id));
     const availableServers = unlimitedServers.length > 0 ? unlimitedServers : remainingServers;
@@ -332,6 +332,7 @@
     if (currentFencing === undefined) return;
     serverStates.forEach((state) => {
       reconcileWithEntry(state, clock);
+      if (state.entry.evacuated) return;
       if (millisecondsUntilOrders(state.entry.id) < STATE_REFRESH_LEAD_MILLISECONDS)
         refreshState(state);
     });
@@ -356,7 +357,7 @@
   const ensureAdapter = async (id: string, model: string, adapter: string): Promise<boolean> => {
     const state = serverStates.get(id);
     const engine = state && profileOf(state);
-    if (!state || !engine || fencing(id) === undefined) return false;
+    if (!state || !engine || state.entry.evacuated || fencing(id) === undefined) return false;
     return adapters.ensureLoaded(state, engine, model, adapter);
   };
 
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -88,6 +88,7 @@
   const reportRequestedAt = new WeakMap<ServerState, number>();
 
   const requestReport = async (state: ServerState): Promise<void> => {
+    if (state.entry.evacuated) return;
     reportRequestedAt.set(state, clock.monotonic());
     try {
       applyReport(state, await control.report(state.entry), clock);
@@ -154,6 +155,7 @@
 
   const send = async (state: ServerState, request: OrderRequest): Promise<OrderOutcome> => {
     if (state.sequence === undefined) await requestReport(state);
+    if (state.entry.evacuated) return ORDER_OUTCOME.REJECTED;
     const fencingToken = fencing(state.entry.id);
     if (fencingToken === undefined || state.sequence === undefined) return ORDER_OUTCOME.REJECTED;
     const engineProfile = profile(state.entry.service);
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -96,6 +96,29 @@
     When all servers limit their requests, and requests wait for "c" for 2 s
     Then the servers started 1 load
 
+  # Guards against orders and reports to evacuated servers, and models that nothing else could serve.
+  Scenario: A model that only an evacuated server holds is loaded on another one
+    Given two servers and their coordinator
+    When requests wait for "c" for 2 s
+    And the server that holds "c" is evacuated, and requests wait for "c" for 3 s
+    Then the servers started 2 loads
+    And both servers hold "c"
+    And evacuated servers received no order and no report
+
+  Scenario: Nothing is ordered from evacuated servers, also if there are no others
+    Given two servers and their coordinator
+    When all servers are evacuated, and requests wait for "c" for 10 s
+    And adapters "1 2" of "a" are requested at once
+    Then the servers started 0 loads
+    And evacuated servers received no order and no report
+
+  Scenario: A server whose evacuation has ended gets orders again
+    Given a server and its coordinator
+    When all servers are evacuated, and requests wait for "c" for 3 s
+    And the evacuation ends
+    And requests wait for "c" for 2 s
+    Then the server holds "a b c"
+
   Scenario: An adapter is evicted while its requests still run
     Given a server and its coordinator
     When adapters "1 2 3 4 5 6 7 8" of "a" are requested at once
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -23,6 +23,9 @@
   secondEngine: FakeEngine | undefined;
   coordinator: LoadCoordinator;
   limitedServers: ReadonlySet<string> | undefined;
+  evacuatedServers: ReadonlySet<string> | undefined;
+  /** Reports and orders to evacuated servers. */
+  forbiddenCalls: number;
   holdsLease: boolean;
 }
 
@@ -225,15 +228,27 @@
   enginesIn(world).find((engine) => engine.id === id)!;
 
 const serverEntries = (world: CoordinatorWorld): ReadonlyMap<string, ServerEntry> =>
-  new Map(enginesIn(world).map((engine) => [engine.id, engine.entry()]));
+  new Map(
+    enginesIn(world).map((engine) => [
+      engine.id,
+      { ...engine.entry(), evacuated: world.evacuatedServers?.has(engine.id) ?? false },
+    ]),
+  );
+
+/** Counts calls to evacuated servers, which the coordinator must not make. */
+const engineToCall = (world: CoordinatorWorld, id: string): FakeEngine => {
+  if (world.evacuatedServers?.has(id))
+    Object.assign(world, { forbiddenCalls: world.forbiddenCalls + 1 });
+  return engineById(world, id);
+};
 
 function startCoordinator(world: CoordinatorWorld): void {
   const { clock } = world;
   const coordinator = createLoadCoordinator({
     clock,
     control: {
-      report: (server) => engineById(world, server.id).report(server),
-      order: (server, order) => engineById(world, server.id).order(server, order),
+      report: (server) => engineToCall(world, server.id).report(server),
+      order: (server, order) => engineToCall(world, server.id).order(server, order),
     },
     logger: silentLogger,
     holder: 'host-1',
@@ -252,6 +267,7 @@
 Before('@orders', function createFakes(this: CoordinatorWorld) {
   const clock = createManualClock();
   Object.assign(this, { clock, fakeEngine: createFakeEngine(clock, 's1'), holdsLease: true });
+  Object.assign(this, { forbiddenCalls: 0 });
 });
 
 After('@orders', function stop(this: CoordinatorWorld) {
@@ -368,6 +384,26 @@
   },
 );
 
+When(
+  /^(?:all servers are|the server that holds "(\w+)" is) evacuated, and requests wait for "(\w+)" for (\d+) s$/,
+  async function play(this: CoordinatorWorld, held: string | null, model: string, seconds: string) {
+    const evacuated = enginesIn(this).filter((engine) => held === null || holds(engine, held));
+    this.evacuatedServers = new Set(evacuated.map(({ id }) => id));
+    const others = enginesIn(this).filter((engine) => !evacuated.includes(engine));
+    const isReady = () => others.some((engine) => holds(engine, model));
+    this.coordinator.setServers(serverEntries(this));
+    await waitForModel(this, model, Number(seconds), isReady);
+  },
+);
+
+When('the evacuation ends', function end(this: CoordinatorWorld) {
+  this.evacuatedServers = undefined;
+});
+
+Then('evacuated servers received no order and no report', function check(this: CoordinatorWorld) {
+  assert.equal(this.forbiddenCalls, 0);
+});
+
 Then('both servers hold {string}', function check(this: CoordinatorWorld, model: string) {
   enginesIn(this).forEach((engine) => assert.ok(holds(engine, model), engine.id));
 });
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -1,3 +1,4 @@
+import { acceptsRequests } from '@bulrushspar/catalogue';
 import { chooseServer } from '@bulrushspar/routing';
 import type { ModelRequirements } from './call.js';
 import type { ServerState } from './servers.js';
@@ -103,7 +104,9 @@
       state.closedUntil <= now &&
       hasRoom(state, now) &&
       selection.millisecondsUntilFree(state.entry.id) <= maxLimitMilliseconds &&
-      (requirements ? selection.canServeModel(state, requirements.model) : !state.entry.leaving),
+      (requirements
+        ? selection.canServeModel(state, requirements.model)
+        : acceptsRequests(state.entry)),
     isAvoided: ({ avoidUntil }) => avoidUntil > now,
     estimateCost: (state) =>
       estimateDelayMilliseconds(state, selection) + random() * COST_JITTER_MILLISECONDS,
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -1,4 +1,5 @@
 /** Selects the server of the next attempt of a request, and waits until it can receive the request. */
+import { acceptsRequests, type ServerEntry } from '@bulrushspar/catalogue';
 import { startStopwatch, type Clock } from '@bulrushspar/clock';
 import type { Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -11,6 +12,7 @@
   createNoAdapterRefusal,
   createNoServerRefusal,
   createServersClosedRefusal,
+  createServersEvacuatedRefusal,
   createServersLimitedRefusal,
   createVersionGoneRefusal,
   createWaitRefusal,
@@ -28,6 +30,8 @@
   readonly servers: ServerStates;
   readonly waits: ModelWaits;
   readonly limits: ServerLimits;
+  /** @returns whether nothing may be sent to a server, also if it is not listed any more */
+  readonly isEvacuated?: (server: ServerEntry) => boolean;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
 }
@@ -48,6 +52,7 @@
 ): PrepareServer<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
   const { waits, limits, ensureAdapter } = options;
+  const { isEvacuated = ({ evacuated }) => evacuated === true } = options;
 
   /**
    * Returns the longest time that a request waits for the limit of a server: it must leave time to be
@@ -57,7 +62,7 @@
     Math.min(remainingMilliseconds() / 2, admitted.route.objectiveMilliseconds);
 
   const isLimited = ({ entry }: ServerState): boolean =>
-    entry.leaving || limits.limitOf(entry.id) !== undefined;
+    !acceptsRequests(entry) || limits.limitOf(entry.id) !== undefined;
 
   /** Servers of the request's service; for a stream that has begun only those of its version. */
   const listServers = ({
@@ -69,6 +74,13 @@
     return all.filter(({ entry }) => entry.softwareVersion === requiredVersion);
   };
 
+  /** Throws if all servers that could ever run the request are evacuated. */
+  const requireServerInUse = (request: ActiveRequest<SomeCall>): void => {
+    const listed = listServers(request);
+    if (listed.length > 0 && listed.every(({ entry }) => isEvacuated(entry)))
+      throw createServersEvacuatedRefusal(request.admitted.service);
+  };
+
   const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) =>
     selectServer({
       candidates: listServers(request),
@@ -95,7 +107,9 @@
         (state) =>
           servers.closedMilliseconds(state.entry.id) === 0 &&
           limits.limitOf(state.entry.id) !== undefined &&
-          (requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving),
+          (requirements
+            ? servers.canServeModel(state, requirements.model)
+            : acceptsRequests(state.entry)),
       )
       .map(({ entry }) => limits.millisecondsUntilFree(entry.id));
     return remaining.length > 0 ? Math.min(...remaining) : undefined;
@@ -107,6 +121,7 @@
     { model }: ModelRequirements,
   ): Promise<void> => {
     const { admitted, signal } = request;
+    requireServerInUse(request);
     const holders = listServers(request).filter((state) => servers.canServeModel(state, model));
     const maxMilliseconds = getMaxLimitMilliseconds(request);
     if (holders.some(({ entry }) => limits.millisecondsUntilFree(entry.id) <= maxMilliseconds))
@@ -168,7 +183,9 @@
     const { requirements } = request.call;
     const remaining = listServers(request)
       .filter((state) =>
-        requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving,
+        requirements
+          ? servers.canServeModel(state, requirements.model)
+          : acceptsRequests(state.entry),
       )
       .map(({ entry }) => servers.closedMilliseconds(entry.id));
     const earliest = Math.min(...remaining);
@@ -181,6 +198,7 @@
     if (untried) return untried;
     const tried = trySelectServer(request, true);
     if (!tried) {
+      requireServerInUse(request);
       const { service } = request.admitted;
       const limited = limitedMilliseconds(request);
       if (limited !== undefined) throw createServersLimitedRefusal(service, limited);
@@ -239,8 +257,10 @@
 
   const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const state = await selectPreparedServer(request);
-    // A refused reservation shows when the server has time, so that another selection avoids it.
-    return (await awaitReservation(request, state)) ? state : prepareServer(request);
+    const isReserved = await awaitReservation(request, state);
+    // A refused reservation shows when the server has time, so that another selection avoids it. An
+    // evacuation may have begun while the request waited.
+    return isReserved && !isEvacuated(state.entry) ? state : prepareServer(request);
   };
 
   return prepareServer;
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -11,6 +11,8 @@
 /** Time in which a server usually gets room for another model: a load and the use of the model. */
 const NO_ROOM_RETRY_SECONDS = 1;
 const NO_SERVER_RETRY_SECONDS = 0.25;
+/** Evacuations last from seconds to hours; callers that come back sooner are refused again. */
+const EVACUATED_RETRY_SECONDS = 5;
 
 /** Creates the refusal of a request that no server could run. */
 export const createNoCapacityRefusal = (
@@ -54,6 +56,13 @@
 ): Refusal => {
   if (end === WAIT_END.CALLER_GONE) return createCallerGoneRefusal();
   if (end === WAIT_END.STOPPING) return createStoppingRefusal();
+  if (end === WAIT_END.EVACUATED) {
+    return createNoCapacityRefusal(
+      503,
+      `all servers that could load model "${model}" are in evacuated failure domains`,
+      EVACUATED_RETRY_SECONDS,
+    );
+  }
   if (end === WAIT_END.NO_SERVER) {
     return createNoCapacityRefusal(
       503,
@@ -116,6 +125,14 @@
     NO_SERVER_RETRY_SECONDS,
   );
 
+/** Creates the refusal of a request whose servers are all in evacuated failure domains. */
+export const createServersEvacuatedRefusal = (service: string): Refusal =>
+  createNoCapacityRefusal(
+    503,
+    `all servers of service "${service}" that could run the request are in evacuated failure domains`,
+    EVACUATED_RETRY_SECONDS,
+  );
+
 /** Creates the refusal of a request that no server of its service accepts. */
 export const createNoServerRefusal = (service: string): Refusal =>
   createNoCapacityRefusal(
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -1,4 +1,4 @@
-import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
+import { acceptsRequests, type ServerEntry, type ServerView } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
 import type { ServerLoad } from './call.js';
 
@@ -93,7 +93,7 @@
     if (leavingSince === undefined) return false;
     if (clock.monotonic() - leavingSince > LEAVING_SERVER_USE_MILLISECONDS) return false;
     return ![...states.values()].some(
-      ({ entry }) => !entry.leaving && entry.models.some(({ name }) => name === model),
+      ({ entry }) => acceptsRequests(entry) && entry.models.some(({ name }) => name === model),
     );
   };
 
@@ -146,6 +146,7 @@
     },
     canServeModel: ({ entry, unloadOrderTimes, leavingSince }, model) => {
       if (!entry.models.some(({ name }) => name === model)) return false;
+      if (entry.evacuated) return false;
       if (entry.leaving && !isLastResort(model, leavingSince)) return false;
       const orderedAt = unloadOrderTimes.get(model);
       return orderedAt === undefined || clock.monotonic() - orderedAt > UNLOAD_TIMEOUT_MILLISECONDS;
--- a/packages/serving/src/waits.ts
+++ b/packages/serving/src/waits.ts
@@ -8,6 +8,8 @@
   TOO_LATE: 'too-late',
   /** No server has room for the model. */
   NO_SERVER: 'no-place',
+  /** All servers that could load the model are in evacuated failure domains. */
+  EVACUATED: 'evacuated',
   /** No leader has reported on the model. */
   NO_LEADER: 'no-commander',
   CALLER_GONE: 'gone',
@@ -38,6 +40,8 @@
   wait(request: ModelWait): Promise<WaitResult>;
   /** Ends the waits for models that a server now holds. */
   endReadyWaits(isReady: (model: string) => boolean): void;
+  /** Ends the waits for models whose servers are all evacuated. */
+  endEvacuatedWaits(isEvacuated: (model: string) => boolean): void;
   /** Ends the waits that would last too long according to the leader's outlook. */
   applyOutlook(outlook: readonly Outlook[]): void;
   /** Ends all current and future waits, since this host is stopping. */
@@ -144,14 +148,15 @@
     [...waiting].forEach(({ settle }) => settle({ end: WAIT_END.NO_SERVER }));
   };
 
+  const endWaits = (isEnding: (model: string) => boolean, result: WaitResult): void =>
+    [...waiters].forEach(([model, waiting]) => {
+      if (isEnding(model)) [...waiting].forEach(({ settle }) => settle(result));
+    });
+
   return {
     wait,
-    endReadyWaits: (isReady) => {
-      [...waiters].forEach(([model, waiting]) => {
-        if (!isReady(model)) return;
-        [...waiting].forEach(({ settle }) => settle({ end: WAIT_END.READY, readyMilliseconds: 0 }));
-      });
-    },
+    endReadyWaits: (isReady) => endWaits(isReady, { end: WAIT_END.READY, readyMilliseconds: 0 }),
+    endEvacuatedWaits: (isEvacuated) => endWaits(isEvacuated, { end: WAIT_END.EVACUATED }),
     applyOutlook: (outlook) => {
       outlook.forEach(({ model, readyMilliseconds }) => {
         const waiting = waiters.get(model);
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -27,6 +27,8 @@
   readonly id: string;
   born: number;
   isUp: boolean;
+  readonly failureDomain?: string;
+  isLeaving?: boolean;
   /** Ends the exchanges that run at the server. */
   readonly cuts: Set<() => void>;
 }
@@ -57,6 +59,10 @@
   readonly workspaces?: readonly Workspace[];
   /** Limits that servers have named; created for this host by default. */
   readonly limits?: ServerLimits;
+  /** Failure domains to whose servers nothing may be sent. */
+  readonly evacuatedDomains?: () => ReadonlySet<string>;
+  /** Loads an adapter; at once by default. */
+  readonly ensureAdapter?: () => Promise<boolean>;
   /** Whether a server holds the model. */
   readonly isLoaded?: (server: TestServer) => boolean;
 }
@@ -82,13 +88,18 @@
     cuts: new Set(),
   }));
 
-const createEntry = ({ id, born }: TestServer, isLoaded: boolean): ServerEntry => ({
+const createEntry = (
+  { id, born, failureDomain = 'd1', isLeaving = false }: TestServer,
+  isLoaded: boolean,
+  evacuatedDomains: ReadonlySet<string>,
+): ServerEntry => ({
   id,
   service: 'llm',
   address: '127.0.0.1:1',
-  failureDomain: 'd1',
+  failureDomain,
   slots: 8,
-  leaving: false,
+  leaving: isLeaving,
+  evacuated: evacuatedDomains.has(failureDomain),
   born,
   models: isLoaded ? [{ name: MODEL, version: 1, adapters: [] }] : [],
   inMemory: [],
@@ -113,19 +124,26 @@
 /** Creates a host that knows the servers. */
 export function createTestHost(options: TestHostOptions): TestHost {
   const { clock, servers, promptParts, send, isLoaded = () => true } = options;
-  const { limits = createServerLimits({ clock }) } = options;
+  const { limits = createServerLimits({ clock }), evacuatedDomains = () => new Set() } = options;
+  const { ensureAdapter = () => Promise.resolve(true) } = options;
   const states = createServerStates(clock);
   const streams = createStreamVersions({ clock });
   const waits = createModelWaits({ clock });
   const updateServers = (): void => {
     const entries = new Map(
-      servers.map((server) => [server.id, createEntry(server, isLoaded(server))]),
+      servers.map((server) => [
+        server.id,
+        createEntry(server, isLoaded(server), evacuatedDomains()),
+      ]),
     );
     states.update(entries);
     limits.updateServers(entries);
     streams.updateServers(entries);
     promptParts.updateServers(entries);
-    waits.endReadyWaits(() => servers.some(isLoaded));
+    const isInUse = ({ failureDomain = 'd1' }: TestServer): boolean =>
+      !evacuatedDomains().has(failureDomain);
+    waits.endEvacuatedWaits(() => !servers.some(isInUse));
+    waits.endReadyWaits(() => servers.some((server) => isLoaded(server) && isInUse(server)));
   };
   updateServers();
   const bucket = createReplicatedBucket({
@@ -166,7 +184,8 @@
     onNotice: (server, { limitPerSecond }) => {
       if (limitPerSecond !== undefined) limits.recordNamed(server, limitPerSecond);
     },
-    ensureAdapter: () => Promise.resolve(true),
+    ensureAdapter,
+    isEvacuated: ({ failureDomain }) => evacuatedDomains().has(failureDomain),
     getStoppingRefusal: () => undefined,
     send,
   });
