--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -18,8 +18,13 @@
   readonly softwareVersion?: string | undefined;
   /** Draining: accepts no new requests and stops soon. */
   readonly leaving: boolean;
-  /** Milliseconds for which the server stays cold, as of the time when it wrote the entry. */
-  readonly coldMilliseconds?: number;
+  /**
+   * Milliseconds for which the server stays cold, as of the time when it wrote the entry; not a number
+   * if the entry holds something else.
+   */
+  readonly coldMilliseconds?: number | undefined;
+  /** Increases each time the server writes its entry. */
+  readonly heartbeat?: number | undefined;
   /** Whether an operator has asked that nothing be sent to the servers of its failure domain. */
   readonly evacuated?: boolean;
   /** Unix time of the server's start, in milliseconds; distinguishes restarts with the same id. */
@@ -90,6 +95,8 @@
 export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const { clock, onChange = () => {}, outageGraceMilliseconds = 2000 } = options;
   let servers = new Map<string, ServerEntry>();
+  /** Whether the list has been read. */
+  let hasRead = false;
   let listed: ServerView = new Map();
   let sinceOutage: Stopwatch | undefined;
   /** Newest process of each server that is known to be leaving: its start, by server. */
@@ -113,6 +120,8 @@
     sinceOutage !== undefined && sinceOutage() < outageGraceMilliseconds;
 
   const mergeListed = (): void => {
+    // Users of the servers tell those that were listed at first from those that came later.
+    if (!hasRead) return;
     const merged = new Map<string, ServerEntry>();
     listed.forEach((entry, id) => {
       const known = servers.get(id);
@@ -140,6 +149,7 @@
   return {
     update: (entries) => {
       listed = new Map(entries);
+      hasRead = true;
       mergeListed();
     },
     recordOutage,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -155,6 +155,8 @@
 const WANTS_INTERVAL_MILLISECONDS = 100;
 /** Longest wait for an adapter: the time of a load in progress on its server and of the order. */
 const ADAPTER_TIMEOUT_MILLISECONDS = 2000;
+/** Time before which a request was sent at the earliest whose answer arrives now: that of a report. */
+const MAX_ANSWER_MILLISECONDS = 300;
 /** Longest wait for the leader's answer to a reservation. */
 const RESERVATION_TIMEOUT_MILLISECONDS = 300;
 /** Time to wait for the first view from a hub before the host reads the store itself. */
@@ -208,7 +210,7 @@
     hosts: () => fleet.topology.size(),
   });
 
-  const { limits, reserve, charge } = createFleetLimits({
+  const { limits, cold, reserve, charge } = createFleetLimits({
     clock,
     logger,
     host: host.name,
@@ -222,13 +224,16 @@
         request,
         RESERVATION_TIMEOUT_MILLISECONDS,
       ),
+    metrics: options.metrics,
+    coldStartOf: (service) => configuration?.services.get(service)?.coldStart,
     onUpdate: (update) => fleet.broadcast(MESSAGE.LIMIT, update),
+    onColdUpdate: (update) => fleet.broadcast(MESSAGE.COLD, update),
   });
 
   /** Whether requests need not wait for a load of the model; the leader plans loads by the same rule. */
   const isLoaded = (model: string): boolean => {
     const isLimited = ({ entry }: ServerState): boolean =>
-      !acceptsRequests(entry) || limits.limitOf(entry.id) !== undefined;
+      !acceptsRequests(entry) || limits.isNamed(entry.id);
     return [...servers.all()].some(
       (state) =>
         servers.canServeModel(state, model) &&
@@ -254,6 +259,7 @@
     clock,
     onChange: (view) => {
       servers.update(view);
+      cold.updateServers(view);
       limits.updateServers(view);
       promptParts.updateServers(view);
       streams.updateServers(view);
@@ -284,7 +290,9 @@
 
   /** Applies what a server has told about itself with an answer to this host. */
   const applyNotice = ({ id, born }: ServerEntry, notice: ServerNotice): void => {
-    const { isLeaving, closedMilliseconds, limitPerSecond } = notice;
+    const { isLeaving, closedMilliseconds, limitPerSecond, coldMilliseconds } = notice;
+    if (coldMilliseconds !== undefined)
+      cold.recordAnswer({ id, born }, coldMilliseconds, () => MAX_ANSWER_MILLISECONDS);
     if (limitPerSecond !== undefined) limits.recordNamed({ id, born }, limitPerSecond);
     if (isLeaving && directory.recordLeaving({ id, born })) {
       logger.info('server has told that it is leaving', { server: id });
@@ -328,6 +336,7 @@
     configuration = next;
     admission.update(next);
     quotas.update(next);
+    cold.updateServices();
     onConfiguration(next);
     leadership.setServers(directory.current());
   };
@@ -399,7 +408,7 @@
     demand,
     configuration: () => configuration,
     runningByModel: (server) => gossip.runningByModel(server),
-    isLimited: (server) => limits.limitOf(server) !== undefined,
+    isLimited: limits.isNamed,
     handoverMilliseconds: bounds.handoverMilliseconds,
     eras,
     isFirstStart: options.isFirstStart,
@@ -454,6 +463,7 @@
     promptParts,
     servers,
     limits,
+    cold,
     reserve,
     directory,
     streams,
@@ -487,6 +497,7 @@
     random,
     handlers,
     onLink: (link) => {
+      cold.listUpdates().forEach((update) => link.send(MESSAGE.COLD, update));
       limits.listUpdates().forEach((update) => link.send(MESSAGE.LIMIT, update));
       promptParts.listUpdates().forEach((update) => link.send(MESSAGE.PROMPT_PARTS, update));
       const lostEvacuations = evacuations.listLost();
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -3,7 +3,7 @@
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
 import type { PromptPartTracker } from '@bulrushspar/routing';
-import type { ServerLimits, ServerStates, StreamVersions } from '@bulrushspar/serving';
+import type { ColdServers, ServerLimits, ServerStates, StreamVersions } from '@bulrushspar/serving';
 import type { Reservation, ReservationRequest } from '@bulrushspar/shares';
 import type { Evacuations } from './evacuations.js';
 import type { Fleet } from './fleet.js';
@@ -14,6 +14,7 @@
   type AdapterMessage,
   type BegunMessage,
   type ChangesMessage,
+  type ColdMessage,
   type DepartureMessage,
   type FleetSummary,
   type ForwardMessage,
@@ -40,6 +41,7 @@
   readonly promptParts: PromptPartTracker;
   readonly servers: ServerStates;
   readonly limits: ServerLimits;
+  readonly cold: Pick<ColdServers, 'applyUpdate'>;
   /** Reserves a request to a server; throws if this host does not schedule the requests of all. */
   readonly reserve: (request: ReservationRequest) => Reservation;
   readonly directory: ServerDirectory;
@@ -59,6 +61,7 @@
     promptParts,
     servers,
     limits,
+    cold,
     reserve,
     directory,
     streams,
@@ -120,6 +123,10 @@
       // Several hosts may have told the same; each host passes it on once.
       if (limits.applyUpdate(message)) fleet().relay(MESSAGE.LIMIT, message, from.host);
     },
+    [MESSAGE.COLD]: (body, from) => {
+      const message = body as ColdMessage;
+      if (cold.applyUpdate(message)) fleet().relay(MESSAGE.COLD, message, from.host);
+    },
     [MESSAGE.LOST_EVACUATIONS]: (body) => evacuations.applyLost(body as LostEvacuationsMessage),
     [MESSAGE.RESERVATION]: (body) => reserve(body as ReservationRequest),
     [MESSAGE.CHANGES]: (body, from) => {
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -2,12 +2,23 @@
 import type { ServerEntry } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
 import type { Logger } from '@bulrushspar/logging';
-import { createServerLimits, type LimitUpdate, type ServerLimits } from '@bulrushspar/serving';
+import type { Metrics } from '@bulrushspar/metrics';
+import {
+  createColdServers,
+  createServerLimits,
+  type ColdServers,
+  type ColdServersOptions,
+  type ColdUpdate,
+  type LimitUpdate,
+  type ServerLimits,
+} from '@bulrushspar/serving';
 import { createSendSchedule, type Reservation, type ReservationRequest } from '@bulrushspar/shares';
 
 /** The limits of one host's fleet. */
 export interface FleetLimits {
   readonly limits: ServerLimits;
+  /** Servers that have a limit because they are cold. */
+  readonly cold: ColdServers;
   /** Reserves a request for another host; throws if this host is not the leader. */
   reserve(request: ReservationRequest): Reservation;
   /** Counts a report or an order, which do not wait, against the limit of its server. */
@@ -29,10 +40,17 @@
     leader: string,
     request: ReservationRequest,
   ) => Promise<Reservation>;
+  readonly metrics: Metrics;
+  readonly coldStartOf: ColdServersOptions['coldStartOf'];
   /** Called with each update that must be sent to the other hosts. */
   readonly onUpdate: (update: LimitUpdate) => void;
+  /** Called with each update on cold servers that must be sent to the other hosts. */
+  readonly onColdUpdate: (update: ColdUpdate) => void;
 }
 
+/** Bounds the set that suppresses repeated log lines; further findings are counted only. */
+const MAX_LOGGED_SERVERS = 1000;
+
 /** Creates the limits of one host. */
 export function createFleetLimits(options: FleetLimitsOptions): FleetLimits {
   const { clock, logger, host, random, countHosts, leader, onUpdate } = options;
@@ -45,8 +63,37 @@
     return schedule.reserve(request);
   };
 
+  const invalidTimes = options.metrics.counter(
+    'cold_times_invalid',
+    'Entries and answers of servers with an unusable time for which they stay cold.',
+  );
+  const loggedServers = new Set<string>();
+  const cold = createColdServers({
+    clock,
+    coldStartOf: options.coldStartOf,
+    onUpdate: (update) => {
+      logger.info('server is cold', {
+        server: update.id,
+        milliseconds: Math.round(update.coldMilliseconds),
+      });
+      options.onColdUpdate(update);
+    },
+    onInvalid: (server, milliseconds) => {
+      invalidTimes.add();
+      if (loggedServers.has(server) || loggedServers.size >= MAX_LOGGED_SERVERS) return;
+      loggedServers.add(server);
+      logger.warn('server tells an unusable time for which it stays cold', {
+        server,
+        milliseconds: String(milliseconds),
+      });
+    },
+  });
+
+  options.metrics.gauge('cold_servers', 'Servers that are cold.', () => cold.listUpdates().length);
+
   const limits = createServerLimits({
     clock,
+    cold,
     random,
     countHosts,
     requestReservation: async (request) => {
@@ -64,6 +111,7 @@
 
   return {
     limits,
+    cold,
     reserve,
     charge: (server) => {
       const perSecond = limits.limitOf(server.id);
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,7 +1,7 @@
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { PromptPartUpdate } from '@bulrushspar/routing';
-import type { BegunStream, LimitUpdate } from '@bulrushspar/serving';
+import type { BegunStream, ColdUpdate, LimitUpdate } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
 import type { LostEvacuation } from './evacuations.js';
 import type { RunningRequests } from './totals.js';
@@ -34,6 +34,8 @@
   LIMIT: 'limit',
   /** Evacuations that the sender obeys although the restored store lacks them. */
   LOST_EVACUATIONS: 'lost-evacuations',
+  /** A server has told that it is cold, or stays so for longer. */
+  COLD: 'cold',
   /** Requests a reservation at a server that has named a limit; sent to the leader. */
   RESERVATION: 'reservation',
   /** Changes to the objects of a kind; sent by the hosts that watch the store. */
@@ -168,6 +170,9 @@
 /** Body of {@link MESSAGE.LOST_EVACUATIONS}. */
 export type LostEvacuationsMessage = readonly LostEvacuation[];
 
+/** Body of {@link MESSAGE.COLD}. */
+export type ColdMessage = ColdUpdate & Relayed;
+
 /** Body of {@link MESSAGE.BEGUN}. */
 export type BegunMessage = BegunStream & Relayed;
 
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -176,6 +176,8 @@
             }
             recordLoad(state, head);
             if (!head.misdirected) Object.assign(state, { isBrittle: head.isBrittle === true });
+            if (!head.notRun && !head.misdirected)
+              limits.recordAnswer(state.entry, head.notice?.coldMilliseconds, sinceSent);
             if (!head.notRun && !head.misdirected && !head.namesLimit)
               limits.recordUnlimited(state.entry, sinceSent);
             if (head.notice) onNotice(state.entry, head.notice);
@@ -239,6 +241,8 @@
       notRun: rejected || notSent,
       why: errorMessage(error),
     });
+    const connectionLost = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
+    if (notSent || connectionLost) limits.recordUnreachable(state.entry);
     if (rejected || notSent) {
       if (rejected && state.isBrittle) servers.close(state.entry.id, BRITTLE_CLOSED_MILLISECONDS);
       if (notSent) crashGuard.recordUnreachable(state.entry);
@@ -248,7 +252,6 @@
       return;
     }
     servers.recordOutcome(state, true);
-    const connectionLost = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
     const incomplete = status !== undefined && isSuccess(status);
     if (connectionLost || incomplete) crashGuard.recordLoss(request, state.entry);
     const isFinal = !mayRetry(request);
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -80,6 +80,8 @@
   readonly closedMilliseconds?: number;
   /** Requests per second that the server accepts from all hosts together, if it named a limit. */
   readonly limitPerSecond?: number;
+  /** Time for which the server stays cold, if it said so; not a number if that was unreadable. */
+  readonly coldMilliseconds?: number;
 }
 
 /** Status and headers of an answer, with what the platform's headers state about it. */
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -16,6 +16,8 @@
   readonly maxLimitMilliseconds: number;
   /** @returns requests per second that a server accepts; undefined if it has named no limit */
   readonly limitOf: (server: string) => number | undefined;
+  /** Whether a server has its limit only because it is cold; false by default. */
+  readonly isCold?: (server: string) => boolean;
   /** @returns the time before which a server, by its limit, receives no further request */
   readonly millisecondsUntilFree: (server: string) => number;
   readonly canServeModel: (state: ServerState, model: string) => boolean;
@@ -28,6 +30,10 @@
 const FULL_SERVER_COST_MILLISECONDS = 400;
 /** Expected delay at a server that has limited its requests, beside the wait for its next one. */
 const LIMITED_SERVER_COST_MILLISECONDS = 400;
+/** Expected delay at a cold server, beside the wait for its next request. */
+const COLD_SERVER_COST_MILLISECONDS = 50;
+/** Fraction of the selections that send a cold server requests although it is slower, to warm it up. */
+const WARMING_FRACTION = 0.1;
 /** Round-trip time to another failure domain. */
 const CROSS_DOMAIN_COST_MILLISECONDS = 3;
 /** Expected delay of a missing adapter, whose load is ordered through the leader. */
@@ -71,6 +77,9 @@
   return `${model}/${adapter}/${id}`;
 }
 
+const estimateColdCost = (random: () => number): number =>
+  random() < WARMING_FRACTION ? 0 : COLD_SERVER_COST_MILLISECONDS;
+
 /** Estimates the delay of a request at a server. */
 export function estimateDelayMilliseconds(state: ServerState, selection: ServerSelection): number {
   const { requirements, now, failureDomain, hasAdapter } = selection;
@@ -78,8 +87,11 @@
   const utilization = countServerRequests(state, now) / Math.max(1, entry.slots);
   let cost =
     FULL_SERVER_COST_MILLISECONDS * utilization + FAILURE_COST_MILLISECONDS * state.failureRate;
-  if (selection.limitOf(entry.id) !== undefined)
-    cost += LIMITED_SERVER_COST_MILLISECONDS + selection.millisecondsUntilFree(entry.id);
+  if (selection.limitOf(entry.id) !== undefined) {
+    const isCold = selection.isCold?.(entry.id) ?? false;
+    cost += isCold ? estimateColdCost(selection.random) : LIMITED_SERVER_COST_MILLISECONDS;
+    cost += selection.millisecondsUntilFree(entry.id);
+  }
   if (entry.failureDomain !== failureDomain) cost += CROSS_DOMAIN_COST_MILLISECONDS;
   if (!requirements) return cost;
   cost += countUncachedPromptTokens(state, requirements, now) / PROMPT_TOKENS_PER_MILLISECOND;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -35,6 +35,12 @@
   type ServerLoad,
   type ServerNotice,
 } from './call.js';
+export {
+  createColdServers,
+  type ColdServers,
+  type ColdServersOptions,
+  type ColdUpdate,
+} from './cold.js';
 export { createCrashGuard, type CrashGuard, type CrashGuardOptions } from './crashes.js';
 export {
   selectServer,
--- a/packages/serving/src/limits.ts
+++ b/packages/serving/src/limits.ts
@@ -1,6 +1,7 @@
-/** Limits that servers name on the requests that all hosts together send to them. */
+/** Limits on the requests that all hosts together send to a server: named ones, and those of cold servers. */
 import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
 import { startMonotonicStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
+import type { ColdServers } from './cold.js';
 import { createSendSchedule, type Reservation, type ReservationRequest } from '@bulrushspar/shares';
 
 /** A server process, as far as its limit is concerned. */
@@ -27,6 +28,10 @@
    * @param sinceSent stopwatch started when that request was sent
    */
   recordUnlimited(server: LimitedServer, sinceSent: Stopwatch): void;
+  /** Records how long a server that has accepted a request stays cold, by its answer. */
+  readonly recordAnswer: ColdServers['recordAnswer'];
+  /** Records that a connection to a server has failed, so that it may start again. */
+  readonly recordUnreachable: ColdServers['recordUnreachable'];
   /**
    * Applies an update from another host.
    * @returns whether it changed anything, so that it must be relayed
@@ -36,6 +41,10 @@
   updateServers(servers: ServerView): void;
   /** @returns requests per second; undefined if the server has no limit */
   limitOf(server: string): number | undefined;
+  /** Whether a server has named a limit, beside one that it has because it is cold. */
+  isNamed(server: string): boolean;
+  /** Whether a request to the server would, as far as is known, get a reservation within a time. */
+  isFreeWithin(server: string, milliseconds: number): boolean;
   /** @returns the name of a server process in the schedule of the requests of all hosts */
   receiverOf(server: LimitedServer): string;
   /** @returns the time before which a request to the server would be refused a reservation */
@@ -60,6 +69,8 @@
   readonly requestReservation?: (request: ReservationRequest) => Promise<Reservation>;
   /** Called with each update that must be sent to the other hosts. */
   readonly onUpdate?: (update: LimitUpdate) => void;
+  /** Servers that have a limit because they are cold. */
+  readonly cold?: Pick<ColdServers, 'limitOf' | 'recordAnswer' | 'recordUnreachable'>;
 }
 
 /**
@@ -69,6 +80,18 @@
 const MIN_PER_SECOND = 0.2;
 /** A limit from which a server is never sent as much. */
 const MAX_PER_SECOND = 1000;
+/**
+ * Longest wait for a place at a cold server. Another host may schedule after that time; the places of
+ * both must stay within the tolerance, half of the limit in a second.
+ */
+const MAX_COLD_WAIT_MILLISECONDS = 500;
+/** Time after a request for a reservation without an answer in which hosts keep to their shares. */
+const UNANSWERED_MILLISECONDS = 500;
+const NEVER_COLD = {
+  limitOf: () => undefined,
+  recordAnswer: () => {},
+  recordUnreachable: () => {},
+};
 const AT_ONCE: Reservation = { isGranted: true, delayMilliseconds: 0 };
 
 interface Limit {
@@ -76,8 +99,6 @@
   perSecond: number;
   /** Time on the monotonic clock of the last answer that named the limit. */
   namedAt: number;
-  /** Time on the monotonic clock before which no place in the schedule is free. */
-  freeAt: number;
 }
 
 /** Returns the name of a server process in a schedule. */
@@ -90,11 +111,18 @@
 export function createServerLimits(options: ServerLimitsOptions): ServerLimits {
   const { clock, random = Math.random, countHosts = () => 1, onUpdate = () => {} } = options;
   const { requestReservation = rejectWithoutScheduler } = options;
+  const { cold = NEVER_COLD } = options;
   const limits = new Map<string, Limit>();
+  /** Time on the monotonic clock before which no place in the schedule of a process is free, by server. */
+  const freeTimes = new Map<string, { readonly born: number; readonly at: number }>();
+  /** Time on the monotonic clock before which the scheduling host is not asked. */
+  let askAgainAt = -Infinity;
+  let isOnOwnShare = false;
   /** This host's share of the limits while no host schedules the requests of all. */
   const ownSchedule = createSendSchedule({
     clock,
-    // Hosts lose the scheduling host at the same time; their first places are spread.
+    // Hosts lose the scheduling host at the same time; their places are spread and stay so.
+    isRegular: true,
     getFirstDelay: (intervalMilliseconds) => random() * intervalMilliseconds,
   });
 
@@ -102,12 +130,19 @@
     ownSchedule.reserve({ ...request, perSecond: request.perSecond / Math.max(1, countHosts()) });
 
   const reserveRequest = async (request: ReservationRequest): Promise<Reservation> => {
+    const askedAt = clock.monotonic();
+    if (askedAt < askAgainAt) return reserveOwnShare(request);
     try {
       const reservation = await requestReservation(request);
+      // The next place of this host's share says nothing of those of all hosts.
+      if (isOnOwnShare) freeTimes.clear();
+      isOnOwnShare = false;
       // What this host leaves of its share goes to the others, so that it cannot be used later.
       ownSchedule.forget(request.receiver);
       return reservation;
     } catch {
+      isOnOwnShare = true;
+      if (clock.monotonic() > askedAt) askAgainAt = clock.monotonic() + UNANSWERED_MILLISECONDS;
       return reserveOwnShare(request);
     }
   };
@@ -124,7 +159,7 @@
       known.perSecond = perSecond;
       return true;
     }
-    limits.set(id, { born, perSecond, namedAt, freeAt: -Infinity });
+    limits.set(id, { born, perSecond, namedAt });
     return true;
   };
 
@@ -135,6 +170,24 @@
     return limits.delete(id);
   };
 
+  const limitOf = (id: string): number | undefined => {
+    const named = limits.get(id)?.perSecond;
+    const ofCold = cold.limitOf(id);
+    return named === undefined || ofCold === undefined
+      ? (named ?? ofCold)
+      : Math.min(named, ofCold);
+  };
+
+  const millisecondsUntilFree = (id: string): number =>
+    limitOf(id) === undefined
+      ? 0
+      : Math.max(0, (freeTimes.get(id)?.at ?? -Infinity) - clock.monotonic());
+
+  const getMaxMilliseconds = (id: string, milliseconds: number): number =>
+    cold.limitOf(id) === undefined
+      ? milliseconds
+      : Math.min(milliseconds, MAX_COLD_WAIT_MILLISECONDS);
+
   return {
     recordNamed: (server, perSecond) => {
       if (perSecond >= MAX_PER_SECOND) return;
@@ -147,28 +200,41 @@
       const { id, born } = server;
       if (endLimit(server, clock.monotonic() - age)) onUpdate({ id, born, age });
     },
+    recordAnswer: cold.recordAnswer,
+    recordUnreachable: cold.recordUnreachable,
     applyUpdate: ({ perSecond, age, ...server }) => {
       const at = clock.monotonic() - age;
       return perSecond === undefined ? endLimit(server, at) : setLimit(server, perSecond, at);
     },
-    updateServers: (servers) =>
+    updateServers: (servers) => {
       limits.forEach(({ born }, id) => {
         if (servers.get(id)?.born !== born) limits.delete(id);
-      }),
-    limitOf: (id) => limits.get(id)?.perSecond,
+      });
+      freeTimes.forEach(({ born }, id) => {
+        if (servers.get(id)?.born !== born) freeTimes.delete(id);
+      });
+    },
+    limitOf,
+    isNamed: (id) => limits.has(id),
     receiverOf: processKey,
-    millisecondsUntilFree: (id) =>
-      Math.max(0, (limits.get(id)?.freeAt ?? -Infinity) - clock.monotonic()),
+    millisecondsUntilFree,
+    isFreeWithin: (id, milliseconds) =>
+      millisecondsUntilFree(id) <= getMaxMilliseconds(id, milliseconds),
     reserve: async (server, maxMilliseconds) => {
-      const limit = limits.get(server.id);
-      if (limit?.born !== server.born) return AT_ONCE;
-      const { perSecond } = limit;
-      const request = { receiver: processKey(server), perSecond, maxMilliseconds };
+      const { id } = server;
+      const perSecond = limitOf(id);
+      if (perSecond === undefined) return AT_ONCE;
+      const request = {
+        receiver: processKey(server),
+        perSecond,
+        maxMilliseconds: getMaxMilliseconds(id, maxMilliseconds),
+      };
       const sinceRequested = startMonotonicStopwatch(clock);
       const reservation = await reserveRequest(request);
       if (!reservation.isGranted) {
         const freeIn = reservation.delayMilliseconds - sinceRequested();
-        limit.freeAt = Math.max(limit.freeAt, clock.monotonic() + freeIn);
+        const known = freeTimes.get(id)?.at ?? -Infinity;
+        freeTimes.set(id, { born: server.born, at: Math.max(known, clock.monotonic() + freeIn) });
       }
       return reservation;
     },
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -62,7 +62,7 @@
     Math.min(remainingMilliseconds() / 2, admitted.route.objectiveMilliseconds);
 
   const isLimited = ({ entry }: ServerState): boolean =>
-    !acceptsRequests(entry) || limits.limitOf(entry.id) !== undefined;
+    !acceptsRequests(entry) || limits.isNamed(entry.id);
 
   /** Servers of the request's service; for a stream that has begun only those of its version. */
   const listServers = ({
@@ -81,20 +81,24 @@
       throw createServersEvacuatedRefusal(request.admitted.service);
   };
 
-  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) =>
-    selectServer({
+  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) => {
+    const maxLimitMilliseconds = getMaxLimitMilliseconds(request);
+    return selectServer({
       candidates: listServers(request),
       requirements: request.call.requirements,
       failureDomain,
       excluded: allowTried ? new Set() : request.triedServers,
       now: clock.monotonic(),
-      maxLimitMilliseconds: getMaxLimitMilliseconds(request),
+      maxLimitMilliseconds,
       limitOf: limits.limitOf,
-      millisecondsUntilFree: limits.millisecondsUntilFree,
+      isCold: (id) => !limits.isNamed(id),
+      millisecondsUntilFree: (id) =>
+        limits.isFreeWithin(id, maxLimitMilliseconds) ? limits.millisecondsUntilFree(id) : Infinity,
       canServeModel: servers.canServeModel,
       hasAdapter: servers.hasAdapter,
       random,
     });
+  };
 
   /**
    * Returns the time until the first of the servers that could run the request has time for another one
@@ -124,10 +128,13 @@
     requireServerInUse(request);
     const holders = listServers(request).filter((state) => servers.canServeModel(state, model));
     const maxMilliseconds = getMaxLimitMilliseconds(request);
-    if (holders.some(({ entry }) => limits.millisecondsUntilFree(entry.id) <= maxMilliseconds))
-      return;
-    // Only a server without a limit gets another replica.
-    if (holders.length > 0 && servers.ofService(admitted.service).every(isLimited))
+    if (holders.some(({ entry }) => limits.isFreeWithin(entry.id, maxMilliseconds))) return;
+    // Only a server without a named limit gets another replica, and none is loaded for a cold one.
+    const isHeldByCold = holders.some((holder) => !isLimited(holder));
+    if (
+      holders.length > 0 &&
+      (isHeldByCold || servers.ofService(admitted.service).every(isLimited))
+    )
       throw createServersLimitedRefusal(admitted.service, limitedMilliseconds(request) ?? 0);
     // Loads are not planned by version, so that a wait might never end.
     if (request.requiredVersion !== undefined) {
@@ -252,7 +259,9 @@
       await waitUnlessAborted(delayMilliseconds, request.signal);
     metrics.limitWait.record(sinceStart());
     if (request.signal.aborted) throw request.signal.reason as Refusal;
-    return isGranted && servers.closedMilliseconds(entry.id) === 0;
+    // The place is one of a process that may have ended meanwhile.
+    const isCurrent = servers.get(entry.id) === state;
+    return isGranted && isCurrent && servers.closedMilliseconds(entry.id) === 0;
   };
 
   const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -105,7 +105,7 @@
 export const createServersLimitedRefusal = (service: string, milliseconds: number): Refusal =>
   createNoCapacityRefusal(
     503,
-    `the servers of service "${service}" that could run the request have limited their requests`,
+    `the servers of service "${service}" that could run the request have limited their requests or are cold`,
     milliseconds / MILLISECONDS_PER_SECOND,
   );
 
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -29,6 +29,7 @@
   isUp: boolean;
   readonly failureDomain?: string;
   isLeaving?: boolean;
+  isListed?: boolean;
   /** Ends the exchanges that run at the server. */
   readonly cuts: Set<() => void>;
 }
@@ -61,6 +62,8 @@
   readonly limits?: ServerLimits;
   /** Failure domains to whose servers nothing may be sent. */
   readonly evacuatedDomains?: () => ReadonlySet<string>;
+  /** @returns a number from 0 up to but not including 1; always 0 by default */
+  readonly random?: () => number;
   /** Loads an adapter; at once by default. */
   readonly ensureAdapter?: () => Promise<boolean>;
   /** Whether a server holds the model. */
@@ -131,10 +134,9 @@
   const waits = createModelWaits({ clock });
   const updateServers = (): void => {
     const entries = new Map(
-      servers.map((server) => [
-        server.id,
-        createEntry(server, isLoaded(server), evacuatedDomains()),
-      ]),
+      servers
+        .filter(({ isListed = true }) => isListed)
+        .map((server) => [server.id, createEntry(server, isLoaded(server), evacuatedDomains())]),
     );
     states.update(entries);
     limits.updateServers(entries);
@@ -165,7 +167,7 @@
     clock,
     logger: { info: () => {}, warn: () => {}, error: () => {} },
     metrics: createServingMetrics(createMetrics()),
-    random: () => 0,
+    random: options.random ?? (() => 0),
     failureDomain: 'd1',
     admission,
     servers: states,
--- a/packages/serving/test/evacuations.feature
+++ b/packages/serving/test/evacuations.feature
@@ -5,7 +5,7 @@
   # Guards against requests that have selected a server, or wait for one, when its evacuation begins.
   Scenario Outline: Nothing is sent to an evacuated server after its evacuation has begun
     Given the servers hold the model: <held>
-    And a host that <does>
+    And a host of this service that <does>
     When requests come in for 2 s and "<domains>" is evacuated in the middle
     Then no evacuated server receives a request
     And the requests after the evacuation are <end>
@@ -25,13 +25,13 @@
 
   Scenario: Requests that run at an evacuated server finish by themselves
     Given the servers hold the model: domain a
-    And a host that serves requests
+    And a host of this service that serves requests
     When requests come in for 2 s and "a" is evacuated in the middle
     Then the requests that had been sent before the evacuation are served
 
   # Guards against leaving servers of an evacuated failure domain that serve as a last resort.
   Scenario: A leaving server is no last resort if it is evacuated
     Given the servers hold the model: domain a
-    And a host that serves requests
+    And a host of this service that serves requests
     When requests come in for 2 s and "a" is leaving and evacuated in the middle
     Then no evacuated server receives a request
--- a/packages/serving/test/evacuations.ts
+++ b/packages/serving/test/evacuations.ts
@@ -97,7 +97,7 @@
   };
 
 Given(
-  /^a host that (serves|has) (.+)$/,
+  /^a host of this service that (serves|has) (.+)$/,
   function create(this: EvacuationWorld, _verb: string, what: string) {
     const { clock, servers } = this;
     const limits = createServerLimits({ clock });
--- a/packages/shares/src/schedule.ts
+++ b/packages/shares/src/schedule.ts
@@ -34,6 +34,11 @@
    * that time: what was sent before is not known.
    */
   readonly getFirstDelay?: (intervalMilliseconds: number) => number;
+  /**
+   * Keeps the places of a receiver at regular times, so that the places of several senders with the
+   * same schedule stay spread; a place that is not used is lost.
+   */
+  readonly isRegular?: boolean;
 }
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -45,6 +50,7 @@
 /** Creates schedules, of which none has a place taken. */
 export function createSendSchedule(options: SendScheduleOptions): SendSchedule {
   const { clock, getFirstDelay = (intervalMilliseconds) => intervalMilliseconds } = options;
+  const { isRegular = false } = options;
   /** Time on the monotonic clock of the next place that is free, by receiver. */
   const nextPlaces = new Map<string, number>();
 
@@ -58,7 +64,9 @@
   const findNextPlace = (receiver: string, intervalMilliseconds: number): number => {
     const now = clock.monotonic();
     const next = nextPlaces.get(receiver) ?? now + getFirstDelay(intervalMilliseconds);
-    return Math.max(next, now - (BURST - 1) * intervalMilliseconds);
+    if (!isRegular) return Math.max(next, now - (BURST - 1) * intervalMilliseconds);
+    const missedPlaces = Math.max(0, Math.ceil((now - next) / intervalMilliseconds));
+    return next + missedPlaces * intervalMilliseconds;
   };
 
   return {
