--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -18,8 +18,13 @@
   readonly softwareVersion?: string | undefined;
   /** Draining: accepts no new requests and stops soon. */
   readonly leaving: boolean;
-  /** Milliseconds for which the server stays cold, as of the time when it wrote the entry. */
-  readonly coldMilliseconds?: number;
+  /**
+   * Milliseconds for which the server stays cold, as of the time when it wrote the entry; not a number
+   * if the entry holds something else.
+   */
+  readonly coldMilliseconds?: number | undefined;
+  /** Increases each time the server writes its entry. */
+  readonly heartbeat?: number | undefined;
   /** Whether an operator has asked that nothing be sent to the servers of its failure domain. */
   readonly evacuated?: boolean;
   /** Unix time of the server's start, in milliseconds; distinguishes restarts with the same id. */
@@ -57,6 +62,8 @@
    * @returns whether this was not known
    */
   recordLeaving(departure: ServerDeparture): boolean;
+  /** Replaces the failure domains to whose servers nothing may be sent; these need not be known. */
+  setEvacuatedDomains(domains: ReadonlySet<string>): void;
   current(): ServerView;
 }
 
@@ -75,6 +82,12 @@
 /** Number of departures from which those of servers that are not listed any more are dropped. */
 const MAX_DEPARTURES = 1000;
 
+/** Whether new requests may be sent to a server, as far as its entry tells. */
+export const acceptsRequests = ({
+  leaving,
+  evacuated,
+}: Pick<ServerEntry, 'leaving' | 'evacuated'>): boolean => !leaving && evacuated !== true;
+
 const isNotOlder = (entry: ServerEntry, known: ServerEntry | undefined): boolean =>
   known === undefined || entry.born >= known.born;
 
@@ -82,6 +95,8 @@
 export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const { clock, onChange = () => {}, outageGraceMilliseconds = 2000 } = options;
   let servers = new Map<string, ServerEntry>();
+  /** Whether the list has been read. */
+  let hasRead = false;
   let listed: ServerView = new Map();
   let sinceOutage: Stopwatch | undefined;
   /** Newest process of each server that is known to be leaving: its start, by server. */
@@ -92,18 +107,29 @@
       ? { ...entry, leaving: true }
       : entry;
 
+  let evacuatedDomains: ReadonlySet<string> = new Set();
+
+  const applyEvacuation = (entry: ServerEntry): ServerEntry => {
+    const evacuated = evacuatedDomains.has(entry.failureDomain);
+    return evacuated === (entry.evacuated ?? false) ? entry : { ...entry, evacuated };
+  };
+
+  const applyMarks = (entry: ServerEntry): ServerEntry => applyEvacuation(applyDeparture(entry));
+
   const isWithinOutageGrace = (): boolean =>
     sinceOutage !== undefined && sinceOutage() < outageGraceMilliseconds;
 
   const mergeListed = (): void => {
+    // Users of the servers tell those that were listed at first from those that came later.
+    if (!hasRead) return;
     const merged = new Map<string, ServerEntry>();
     listed.forEach((entry, id) => {
       const known = servers.get(id);
-      merged.set(id, applyDeparture(isNotOlder(entry, known) ? entry : known!));
+      merged.set(id, applyMarks(isNotOlder(entry, known) ? entry : known!));
     });
     if (isWithinOutageGrace()) {
       servers.forEach((entry, id) => {
-        if (!merged.has(id)) merged.set(id, applyDeparture(entry));
+        if (!merged.has(id)) merged.set(id, applyMarks(entry));
       });
     }
     if (leavingBorn.size > MAX_DEPARTURES) {
@@ -123,6 +149,7 @@
   return {
     update: (entries) => {
       listed = new Map(entries);
+      hasRead = true;
       mergeListed();
     },
     recordOutage,
@@ -138,6 +165,10 @@
       mergeListed();
       return true;
     },
+    setEvacuatedDomains: (domains) => {
+      evacuatedDomains = new Set(domains);
+      mergeListed();
+    },
     current: () => servers,
   };
 }
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -3,8 +3,9 @@
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
 import type { PromptPartTracker } from '@bulrushspar/routing';
-import type { ServerLimits, ServerStates, StreamVersions } from '@bulrushspar/serving';
+import type { ColdServers, ServerLimits, ServerStates, StreamVersions } from '@bulrushspar/serving';
 import type { Reservation, ReservationRequest } from '@bulrushspar/shares';
+import type { Evacuations } from './evacuations.js';
 import type { Fleet } from './fleet.js';
 import type { Forwarding } from './forward.js';
 import type { Gossip } from './gossip.js';
@@ -13,12 +14,14 @@
   type AdapterMessage,
   type BegunMessage,
   type ChangesMessage,
+  type ColdMessage,
   type DepartureMessage,
   type FleetSummary,
   type ForwardMessage,
   type ForwardedRequest,
   type HostState,
   type LimitMessage,
+  type LostEvacuationsMessage,
   type OutlookMessage,
   type PromptPartsMessage,
   type PullMessage,
@@ -40,11 +43,13 @@
   readonly promptParts: PromptPartTracker;
   readonly servers: ServerStates;
   readonly limits: ServerLimits;
+  readonly cold: Pick<ColdServers, 'applyUpdate'>;
   /** Reserves a request to a server; throws if this host does not schedule the requests of all. */
   readonly reserve: (request: ReservationRequest) => Reservation;
   readonly directory: ServerDirectory;
   readonly streams: StreamVersions;
   readonly versions: VersionsKeeper;
+  readonly evacuations: Pick<Evacuations, 'applyLost'>;
   readonly receiveOutlook: (outlook: readonly Outlook[]) => void;
 }
 
@@ -59,10 +64,12 @@
     promptParts,
     servers,
     limits,
+    cold,
     reserve,
     directory,
     streams,
     versions,
+    evacuations,
     receiveOutlook,
   } = options;
 
@@ -125,6 +132,11 @@
       // Several hosts may have told the same; each host passes it on once.
       if (limits.applyUpdate(message)) fleet().relay(MESSAGE.LIMIT, message, from.host);
     },
+    [MESSAGE.COLD]: (body, from) => {
+      const message = body as ColdMessage;
+      if (cold.applyUpdate(message)) fleet().relay(MESSAGE.COLD, message, from.host);
+    },
+    [MESSAGE.LOST_EVACUATIONS]: (body) => evacuations.applyLost(body as LostEvacuationsMessage),
     [MESSAGE.RESERVATION]: (body) => reserve(body as ReservationRequest),
     [MESSAGE.CHANGES]: (body, from) => {
       const message = body as ChangesMessage;
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -1,5 +1,5 @@
 /** Selects the server of the next attempt of a request, and waits until it can receive the request. */
-import { ROUTE_KIND } from '@bulrushspar/catalogue';
+import { acceptsRequests, ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
 import { startStopwatch, type Clock } from '@bulrushspar/clock';
 import type { Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -12,6 +12,7 @@
   createNoAdapterRefusal,
   createNoServerRefusal,
   createServersClosedRefusal,
+  createServersEvacuatedRefusal,
   createServersLimitedRefusal,
   createVersionGoneRefusal,
   createWaitRefusal,
@@ -32,6 +33,8 @@
   readonly limits: ServerLimits;
   /** Which software version began each stream. */
   readonly streams: StreamVersions;
+  /** @returns whether nothing may be sent to a server, also if it is not listed any more */
+  readonly isEvacuated?: (server: ServerEntry) => boolean;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
 }
@@ -52,6 +55,7 @@
 ): PrepareServer<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
   const { waits, limits, streams, ensureAdapter } = options;
+  const { isEvacuated = ({ evacuated }) => evacuated === true } = options;
 
   /**
    * Returns the longest time that a request waits for the limit of a server: it must leave time to be
@@ -61,7 +65,7 @@
     Math.min(remainingMilliseconds() / 2, admitted.route.objectiveMilliseconds);
 
   const isLimited = ({ entry }: ServerState): boolean =>
-    entry.leaving || limits.limitOf(entry.id) !== undefined;
+    !acceptsRequests(entry) || limits.isNamed(entry.id);
 
   /** Servers of the request's service; for a stream that has begun only those of its version. */
   const listServers = ({
@@ -90,24 +94,35 @@
     );
   };
 
+  /** Throws if all servers that could ever run the request are evacuated. */
+  const requireServerInUse = (request: ActiveRequest<SomeCall>): void => {
+    const listed = listServers(request);
+    if (listed.length > 0 && listed.every(({ entry }) => isEvacuated(entry)))
+      throw createServersEvacuatedRefusal(request.admitted.service);
+  };
+
   const selectFrom = (
     candidates: readonly ServerState[],
     request: ActiveRequest<SomeCall>,
     allowTried: boolean,
-  ) =>
-    selectServer({
+  ) => {
+    const maxLimitMilliseconds = getMaxLimitMilliseconds(request);
+    return selectServer({
       candidates,
       requirements: request.call.requirements,
       failureDomain,
       excluded: allowTried ? new Set() : request.triedServers,
       now: clock.monotonic(),
-      maxLimitMilliseconds: getMaxLimitMilliseconds(request),
+      maxLimitMilliseconds,
       limitOf: limits.limitOf,
-      millisecondsUntilFree: limits.millisecondsUntilFree,
+      isCold: (id) => !limits.isNamed(id),
+      millisecondsUntilFree: (id) =>
+        limits.isFreeWithin(id, maxLimitMilliseconds) ? limits.millisecondsUntilFree(id) : Infinity,
       canServeModel: servers.canServeModel,
       hasAdapter: servers.hasAdapter,
       random,
     });
+  };
 
   /**
    * Returns the time until the first of the servers that could run the request has time for another one
@@ -120,7 +135,9 @@
         (state) =>
           servers.closedMilliseconds(state.entry.id) === 0 &&
           limits.limitOf(state.entry.id) !== undefined &&
-          (requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving),
+          (requirements
+            ? servers.canServeModel(state, requirements.model)
+            : acceptsRequests(state.entry)),
       )
       .map(({ entry }) => limits.millisecondsUntilFree(entry.id));
     return remaining.length > 0 ? Math.min(...remaining) : undefined;
@@ -132,12 +149,16 @@
     { model }: ModelRequirements,
   ): Promise<void> => {
     const { admitted, signal } = request;
+    requireServerInUse(request);
     const holders = listServers(request).filter((state) => servers.canServeModel(state, model));
     const maxMilliseconds = getMaxLimitMilliseconds(request);
-    if (holders.some(({ entry }) => limits.millisecondsUntilFree(entry.id) <= maxMilliseconds))
-      return;
-    // Only a server without a limit gets another replica.
-    if (holders.length > 0 && servers.ofService(admitted.service).every(isLimited))
+    if (holders.some(({ entry }) => limits.isFreeWithin(entry.id, maxMilliseconds))) return;
+    // Only a server without a named limit gets another replica, and none is loaded for a cold one.
+    const isHeldByCold = holders.some((holder) => !isLimited(holder));
+    if (
+      holders.length > 0 &&
+      (isHeldByCold || servers.ofService(admitted.service).every(isLimited))
+    )
       throw createServersLimitedRefusal(admitted.service, limitedMilliseconds(request) ?? 0);
     // Loads are not planned by version, so that a wait might never end.
     if (request.requiredVersion !== undefined) {
@@ -199,7 +220,9 @@
     const { requirements } = request.call;
     const remaining = listServers(request)
       .filter((state) =>
-        requirements ? servers.canServeModel(state, requirements.model) : !state.entry.leaving,
+        requirements
+          ? servers.canServeModel(state, requirements.model)
+          : acceptsRequests(state.entry),
       )
       .map(({ entry }) => servers.closedMilliseconds(entry.id));
     const earliest = Math.min(...remaining);
@@ -212,6 +235,7 @@
     if (untried) return untried;
     const tried = trySelectServer(request, true);
     if (!tried) {
+      requireServerInUse(request);
       const { service } = request.admitted;
       const limited = limitedMilliseconds(request);
       if (limited !== undefined) throw createServersLimitedRefusal(service, limited);
@@ -265,13 +289,17 @@
       await waitUnlessAborted(delayMilliseconds, request.signal);
     metrics.limitWait.record(sinceStart());
     if (request.signal.aborted) throw request.signal.reason as Refusal;
-    return isGranted && servers.closedMilliseconds(entry.id) === 0;
+    // The place is one of a process that may have ended meanwhile.
+    const isCurrent = servers.get(entry.id) === state;
+    return isGranted && isCurrent && servers.closedMilliseconds(entry.id) === 0;
   };
 
   const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const state = await selectPreparedServer(request);
-    // A refused reservation shows when the server has time, so that another selection avoids it.
-    return (await awaitReservation(request, state)) ? state : prepareServer(request);
+    const isReserved = await awaitReservation(request, state);
+    // A refused reservation shows when the server has time, so that another selection avoids it. An
+    // evacuation may have begun while the request waited.
+    return isReserved && !isEvacuated(state.entry) ? state : prepareServer(request);
   };
 
   return prepareServer;
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -27,6 +27,9 @@
   readonly id: string;
   born: number;
   isUp: boolean;
+  readonly failureDomain?: string;
+  isLeaving?: boolean;
+  isListed?: boolean;
   /** Ends the exchanges that run at the server. */
   readonly cuts: Set<() => void>;
 }
@@ -57,6 +60,12 @@
   readonly workspaces?: readonly Workspace[];
   /** Limits that servers have named; created for this host by default. */
   readonly limits?: ServerLimits;
+  /** Failure domains to whose servers nothing may be sent. */
+  readonly evacuatedDomains?: () => ReadonlySet<string>;
+  /** @returns a number from 0 up to but not including 1; always 0 by default */
+  readonly random?: () => number;
+  /** Loads an adapter; at once by default. */
+  readonly ensureAdapter?: () => Promise<boolean>;
   /** Whether a server holds the model. */
   readonly isLoaded?: (server: TestServer) => boolean;
 }
@@ -82,13 +91,18 @@
     cuts: new Set(),
   }));
 
-const createEntry = ({ id, born }: TestServer, isLoaded: boolean): ServerEntry => ({
+const createEntry = (
+  { id, born, failureDomain = 'd1', isLeaving = false }: TestServer,
+  isLoaded: boolean,
+  evacuatedDomains: ReadonlySet<string>,
+): ServerEntry => ({
   id,
   service: 'llm',
   address: '127.0.0.1:1',
-  failureDomain: 'd1',
+  failureDomain,
   slots: 8,
-  leaving: false,
+  leaving: isLeaving,
+  evacuated: evacuatedDomains.has(failureDomain),
   born,
   models: isLoaded ? [{ name: MODEL, version: 1, adapters: [] }] : [],
   inMemory: [],
@@ -113,19 +127,25 @@
 /** Creates a host that knows the servers. */
 export function createTestHost(options: TestHostOptions): TestHost {
   const { clock, servers, promptParts, send, isLoaded = () => true } = options;
-  const { limits = createServerLimits({ clock }) } = options;
+  const { limits = createServerLimits({ clock }), evacuatedDomains = () => new Set() } = options;
+  const { ensureAdapter = () => Promise.resolve(true) } = options;
   const states = createServerStates(clock);
   const streams = createStreamVersions({ clock, isFirstStart: true });
   const waits = createModelWaits({ clock });
   const updateServers = (): void => {
     const entries = new Map(
-      servers.map((server) => [server.id, createEntry(server, isLoaded(server))]),
+      servers
+        .filter(({ isListed = true }) => isListed)
+        .map((server) => [server.id, createEntry(server, isLoaded(server), evacuatedDomains())]),
     );
     states.update(entries);
     limits.updateServers(entries);
     streams.updateServers(entries);
     promptParts.updateServers(entries);
-    waits.endReadyWaits(() => servers.some(isLoaded));
+    const isInUse = ({ failureDomain = 'd1' }: TestServer): boolean =>
+      !evacuatedDomains().has(failureDomain);
+    waits.endEvacuatedWaits(() => !servers.some(isInUse));
+    waits.endReadyWaits(() => servers.some((server) => isLoaded(server) && isInUse(server)));
   };
   updateServers();
   const bucket = createReplicatedBucket({
@@ -147,7 +167,7 @@
     clock,
     logger: { info: () => {}, warn: () => {}, error: () => {} },
     metrics: createServingMetrics(createMetrics()),
-    random: () => 0,
+    random: options.random ?? (() => 0),
     failureDomain: 'd1',
     admission,
     servers: states,
@@ -166,7 +186,8 @@
     onNotice: (server, { limitPerSecond }) => {
       if (limitPerSecond !== undefined) limits.recordNamed(server, limitPerSecond);
     },
-    ensureAdapter: () => Promise.resolve(true),
+    ensureAdapter,
+    isEvacuated: ({ failureDomain }) => evacuatedDomains().has(failureDomain),
     getStoppingRefusal: () => undefined,
     send,
   });
