Learn how many cold loads the weight store serves at once, and load for lasting demand

Cause: four cold loads ran at once whatever the weight store served, the outlook assumed full speed, and the demand for a model ended with the refusal of its requests. Change: with shared capacity the limit of concurrent cold loads follows the measured durations, told times keep their order, absent models with recent requests are loaded with idle capacity, servers are refilled from their disks, and models of leaving servers are loaded elsewhere. Planner and coordinator are split by responsibility. Without shared capacity plans are unchanged. Features of loading pass.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -348,6 +348,7 @@
     handoverMilliseconds: bounds.handoverMilliseconds,
     eras,
     isFirstStart: options.isFirstStart,
+    sharesCapacity: options.sharesCapacity ?? false,
     reachesServers: options.reachesServers,
     canOthersReachStore: () => gossip.canOthersReachStore(),
     contentionRank: () => fleet.contentionRank(),
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -63,6 +63,10 @@
   readonly isFirstStart?: boolean;
   /** Returns whether a server has limited its requests; it gets loads only if all servers have. */
   readonly isLimited?: (server: string) => boolean;
+  /** Whether loads share the weight store adaptively and idle capacity is used; false by default. */
+  readonly sharesCapacity?: boolean;
+  /** Called when the learnt number of concurrent cold loads has changed. */
+  readonly onColdLoadLimit?: (limit: number) => void;
   /** Rank of this host among the contenders, so that they do not all contend at once. */
   readonly contentionRank: () => number;
   /** Whether this host reaches servers, as far as it knows; true by default. */
@@ -105,6 +109,7 @@
   const { onOutlook, onUnloading, handoverMilliseconds, contentionRank, canOthersReachStore } =
     options;
   const { isLimited, reachesServers = () => true } = options;
+  const { sharesCapacity = false, onColdLoadLimit } = options;
   const { eras = createEraTracker(), isFirstStart = false } = options;
   /** Last report on the lease, by host. */
   const receivedLeases = new Map<string, ReceivedLease>();
@@ -243,6 +248,8 @@
     demand,
     running: runningByModel,
     ...(isLimited ? { isLimited } : {}),
+    sharesCapacity,
+    ...(onColdLoadLimit ? { onColdLoadLimit } : {}),
     onOutlook,
     onUnloading,
   });
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -1,7 +1,7 @@
 import type { EngineProfile, ServerEntry } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
 import { ORDER_OPERATION, type OrderRequest, type ServerReport } from './engine.js';
-import type { PlannedServer } from './plan.js';
+import type { PlannedServer } from './plan-input.js';
 
 /** State of one server as tracked by the coordinator, the host that holds the lease for orders. */
 export interface ServerState {
@@ -37,6 +37,8 @@
   /** When the order was accepted, by the monotonic clock. */
   readonly startedAt: number;
   readonly expectedMilliseconds: number;
+  /** Whether it loads weights from the weight store, as of when it was accepted. */
+  readonly isCold?: boolean;
 }
 
 /** Options of {@link toPlannedServer}. */
@@ -47,6 +49,10 @@
   readonly running: (server: string) => ReadonlyMap<string, number>;
   /** Returns the model replacement whose orders are being sent to a server. */
   readonly replacement: (server: string) => ModelReplacement | undefined;
+  /** Returns the milliseconds that the load of a server still takes, if known better than stated. */
+  readonly remaining?: (state: ServerState) => number | undefined;
+  /** Returns the milliseconds since the last request for a model; shows which models are unused. */
+  readonly idleMilliseconds?: (model: string) => number;
 }
 
 /** A model to load and the models to evict for it. */
@@ -57,6 +63,11 @@
 
 /** Time for which a loaded model is not evicted, so that the requests that waited for it run. */
 const EVICTION_GRACE_MILLISECONDS = 700;
+/**
+ * Time for which a loaded model that has had no request since is spared, so that callers which were
+ * refused can return: they do so after the time of a load.
+ */
+const UNUSED_GRACE_MILLISECONDS = 15_000;
 /** Time after an order within which a server's entry reflects it: one heartbeat and a margin. */
 const ENTRY_LAG_MILLISECONDS = 2000;
 /** Time for which a report may predate the last order; reports lag by some hundred milliseconds. */
@@ -263,9 +274,15 @@
   const { pendingOrder, entry } = state;
   const running = options.running(entry.id);
   const replacement = options.replacement(entry.id);
-  const remaining = pendingOrder
+  const { idleMilliseconds } = options;
+  const isUnused = (name: string): boolean => {
+    const age = now - (state.loadedAt.get(name) ?? -Infinity);
+    return age < UNUSED_GRACE_MILLISECONDS && idleMilliseconds!(name) > age;
+  };
+  const statedRemaining = pendingOrder
     ? Math.max(1, pendingOrder.startedAt + pendingOrder.expectedMilliseconds - now)
     : 0;
+  const remaining = options.remaining?.(state) ?? statedRemaining;
   return {
     id: entry.id,
     models: [...modelsAfterReplacement(state, replacement)].map(([name, adapters]) => ({
@@ -276,6 +293,7 @@
       recentlyLoaded:
         !state.models.has(name) ||
         now - (state.loadedAt.get(name) ?? -Infinity) < EVICTION_GRACE_MILLISECONDS,
+      ...(idleMilliseconds ? { isUnused: isUnused(name) } : {}),
     })),
     unconfirmedMegabytes: unconfirmedMegabytes(state, profile),
     busyMilliseconds: Math.max(
--- a/packages/loading/src/change.ts
+++ b/packages/loading/src/change.ts
@@ -98,13 +98,13 @@
     const engine = profile(state.entry.service)!;
     completePendingOrder(updated, clock);
     const isLoad = request.operation === ORDER_OPERATION.LOAD;
-    const expectedMilliseconds = isLoad
-      ? estimateLoad(state.entry, engine, request.model).milliseconds
-      : 0;
+    const estimate = estimateLoad(state.entry, engine, request.model);
+    const expectedMilliseconds = isLoad ? estimate.milliseconds : 0;
     updated.pendingOrder = {
       request,
       startedAt: clock.monotonic(),
       expectedMilliseconds,
+      isCold: isLoad && estimate.cold,
     };
     if (isLoad) pollOverdueLoad(updated, expectedMilliseconds);
   };
--- a/packages/loading/src/index.ts
+++ b/packages/loading/src/index.ts
@@ -1,10 +1,17 @@
 /** Decides which server loads which model and sends the orders for it. */
+export { findBackgroundNeeds, type BackgroundInput } from './background.js';
 export {
   createLoadCoordinator,
   type LoadCoordinator,
   type LoadCoordinatorOptions,
-  type Outlook,
 } from './commander.js';
+export {
+  createConcurrencyLimit,
+  type ColdLoadObservation,
+  type ConcurrencyLimit,
+  type ConcurrencyLimitOptions,
+  type RunningColdLoad,
+} from './concurrency.js';
 export { createDemandTracker, type DemandTracker, type DemandTrackerOptions } from './demand.js';
 export {
   ORDER_OPERATION,
@@ -15,13 +22,15 @@
   type OrderOutcome,
   type ServerReport,
 } from './engine.js';
+export { planLoads } from './plan.js';
 export {
-  planLoads,
+  type BackgroundNeed,
+  type Outlook,
   type PlanInput,
   type PlannedLoad,
   type PlannedModel,
   type PlannedServer,
   type ReplicaNeed,
   type Want,
-} from './plan.js';
+} from './plan-input.js';
 export { findReplicaNeeds, type ServerLoad } from './replicas.js';
--- a/packages/loading/src/replicas.ts
+++ b/packages/loading/src/replicas.ts
@@ -1,5 +1,6 @@
 /** Finds the models that need another replica, based on the load of their servers. */
-import { overloadThreshold, type ReplicaNeed } from './plan.js';
+import { overloadThreshold } from './overload.js';
+import type { ReplicaNeed } from './plan-input.js';
 
 /** Running requests and resident models of a server. */
 export interface ServerLoad {
