Keep told times, treat requests that end before a load as demand, and hand the learnt limit on

Cause: later requests overtook models whose callers had been told a time; requests that could not be served in time evicted models with as many requests; a new leader began to learn the limit again. Change: loads keep the order in which callers were told, refused callers are told the expected time with a spread, wants carry the time left of their requests, the report on the lease carries the learnt limit. The limit grows by half instead of doubling, and estimates rest on the concurrency that was punctual. Features of loading and order leadership pass.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -220,7 +220,11 @@
         (!isLimited(state) || servers.ofService(state.entry.service).every(isLimited)),
     );
   };
-  const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
+  const waits = createModelWaits({
+    clock,
+    onNewModel: () => sendWants(),
+    ...(options.sharesCapacity ? { random } : {}),
+  });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
   const streams = createStreamVersions({
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -56,6 +56,8 @@
    * order within the handover time are left out.
    */
   readonly sinceOrderAt?: Readonly<Record<string, number>> | undefined;
+  /** Number of concurrent cold loads that the leader has learnt; absent if it has learnt none. */
+  readonly coldLoadLimit?: number | undefined;
 }
 
 /** Digest and greatest rank of the objects of each kind. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -20,6 +20,7 @@
   type Incarnation,
   type ObjectStore,
 } from '@bulrushspar/store';
+import { createLeaseReports } from './lease-reports.js';
 import type { ReportedLease, OrderLease } from './messages.js';
 
 /** Leadership for the orders to the servers: one host at a time, the leader, sends them. */
@@ -94,44 +95,27 @@
 /** Interval of the checks for a confirmed renewal. */
 const CHECK_INTERVAL_MILLISECONDS = 100;
 
-/** Last report of a host on its lease. */
-interface ReceivedLease extends OrderLease {
-  readonly host: string;
-  /** Time since the host sent the report. */
-  readonly since: Stopwatch;
-  /** Time since this host first received a report that the term is over. */
-  readonly sinceOver?: Stopwatch;
-}
-
 /** Creates the leadership of one host; it sends no orders until it runs and holds the lease. */
 export function createOrderLeadership(options: OrderLeadershipOptions): OrderLeadership {
   const { store, clock, logger, self, demand, configuration, runningByModel } = options;
   const { onOutlook, onUnloading, handoverMilliseconds, contentionRank, canOthersReachStore } =
     options;
   const { isLimited, reachesServers = () => true } = options;
-  const { sharesCapacity = false, onColdLoadLimit } = options;
+  const { sharesCapacity = false, onColdLoadLimit = () => {} } = options;
   const { eras = createEraTracker(), isFirstStart = false } = options;
-  /** Last report on the lease, by host. */
-  const receivedLeases = new Map<string, ReceivedLease>();
+  const reports = createLeaseReports(clock);
   let lastDescribed: OrderLease | undefined;
   let sinceOrder: Stopwatch | undefined;
   const sinceOrderAt = new Map<string, Stopwatch>();
   let serverIds: readonly string[] = [];
-
-  const newestReceived = (): ReceivedLease | undefined => {
-    let found: ReceivedLease | undefined;
-    receivedLeases.forEach((report) => {
-      if (!found || report.fencing > found.fencing) found = report;
-    });
-    return found;
-  };
+  let coldLoadLimit: number | undefined;
 
   const sinceStart = startMonotonicStopwatch(clock);
 
   /** Whether to leave the lease to the current leader or to hosts with a better rank. */
   const mustDefer = (): boolean => {
     const rankDelay = Math.min(contentionRank(), MAX_DELAYED_RANK) * RANK_DELAY_MILLISECONDS;
-    const found = newestReceived();
+    const found = reports.newest();
     if (!found) return sinceStart() < rankDelay;
     if (found.sinceOver) return found.sinceOver() < rankDelay;
     return found.since() < LEADER_TIMEOUT_MILLISECONDS + rankDelay;
@@ -149,11 +133,11 @@
     mayHaveLostNumbers: () => eras.mayHaveBegunAnew() && !isFirstStart,
     isContender: () => reachesServers() && !mustDefer(),
     isAbandoned: (fencing) => {
-      const found = newestReceived();
+      const found = reports.newest();
       return found !== undefined && found.over && found.fencing === fencing;
     },
     millisecondsSinceFormerAction: (host, fencing, server) => {
-      const found = receivedLeases.get(host);
+      const found = reports.of(host);
       if (!found?.over || found.fencing !== fencing) return undefined;
       const since = server === undefined ? found.sinceOrder : found.sinceOrderAt?.[server];
       return since === undefined ? Infinity : since + found.since();
@@ -220,7 +204,7 @@
 
   const describeLease = (): OrderLease | undefined => {
     const fencing = lease.currentFencing();
-    if (fencing !== undefined) lastDescribed = { fencing, over: false };
+    if (fencing !== undefined) lastDescribed = { fencing, over: false, coldLoadLimit };
     else if (lastDescribed && !lastDescribed.over) {
       // Other hosts take over once they receive this report, so a late answer of the store must not
       // renew the same term.
@@ -249,7 +233,11 @@
     running: runningByModel,
     ...(isLimited ? { isLimited } : {}),
     sharesCapacity,
-    ...(onColdLoadLimit ? { onColdLoadLimit } : {}),
+    learntColdLoadLimit: () => reports.newest()?.coldLoadLimit,
+    onColdLoadLimit: (limit) => {
+      coldLoadLimit = limit;
+      onColdLoadLimit(limit);
+    },
     onOutlook,
     onUnloading,
   });
@@ -259,35 +247,29 @@
     describeLease,
     receiveLease: (host, report, age = 0) => {
       if (!report || host === self.host) return;
-      const sinceReceived = startMonotonicStopwatch(clock);
-      const previous = receivedLeases.get(host);
-      // Several hubs forward the same report: the most recent one applies.
-      if (previous && previous.fencing >= report.fencing && previous.since() < age) return;
-      const { fencing, over } = report;
-      const overBefore = previous?.fencing === fencing ? previous.sinceOver : undefined;
-      receivedLeases.set(host, {
-        host,
-        fencing,
-        over,
-        sinceOrder: report.sinceOrder,
-        sinceOrderAt: report.sinceOrderAt,
-        since: () => age + sinceReceived(),
-        sinceOver: over ? (overBefore ?? sinceReceived) : undefined,
-      });
+      reports.receive(host, report, age);
     },
     newestLease: () => {
       const own = describeLease();
-      const found = newestReceived();
+      const found = reports.newest();
       if (own && own.fencing >= (found?.fencing ?? 0)) return { ...own, host: self.host, age: 0 };
       if (!found) return undefined;
       const { host, fencing, over, since } = found;
       const { sinceOrder: order, sinceOrderAt: orders } = found;
       const age = Math.round(since());
-      return { host, fencing, over, sinceOrder: order, sinceOrderAt: orders, age };
+      return {
+        host,
+        fencing,
+        over,
+        sinceOrder: order,
+        sinceOrderAt: orders,
+        coldLoadLimit: found.coldLoadLimit,
+        age,
+      };
     },
     leader: () => {
       if (lease.currentFencing() !== undefined) return self.host;
-      const found = newestReceived();
+      const found = reports.newest();
       return found && !found.over && found.since() < TERM_MILLISECONDS ? found.host : undefined;
     },
     setServers: (servers) => {
--- a/packages/loading/src/background.ts
+++ b/packages/loading/src/background.ts
@@ -8,7 +8,7 @@
   readonly profile: EngineProfile;
   readonly servers: readonly PlannedServer[];
   readonly demand: Pick<DemandTracker, 'requestsPerSecond' | 'idleMilliseconds'>;
-  /** Returns whether no server holds or loads the model, and no request waits for it. */
+  /** Returns whether no server holds or loads the model. */
   readonly isMissing: (model: string) => boolean;
   /** Number of cold loads that may run concurrently. */
   readonly coldLoadLimit: number;
--- a/packages/loading/src/cold-loads.ts
+++ b/packages/loading/src/cold-loads.ts
@@ -11,7 +11,11 @@
 /** Part of the planner's input that limits cold loads. */
 export type ColdLoadLimits = Pick<
   PlanInput,
-  'availableColdLoads' | 'coldWaitMilliseconds' | 'maxConcurrentColdLoads' | 'coldPlaces'
+  | 'availableColdLoads'
+  | 'coldWaitMilliseconds'
+  | 'maxConcurrentColdLoads'
+  | 'coldPlaces'
+  | 'coldSlowdown'
 >;
 
 /** Counts and measures the cold loads of the servers. */
@@ -20,6 +24,8 @@
   recordStart(): void;
   /** Measures the loads under way. @param isMoreWanted whether a higher limit would be used */
   observe(isMoreWanted: boolean): void;
+  /** Forgets what was measured before this host took the lease. @param limit the last leader's */
+  restart(limit: number | undefined): void;
   limits(engine: EngineProfile): ColdLoadLimits;
   /** Expected milliseconds until the cold load of a server ends, if its speed has been learnt. */
   remainingOn(server: ServerState): number | undefined;
@@ -131,6 +137,7 @@
       coldWaitMilliseconds: Math.min(...coldPlaces),
       maxConcurrentColdLoads: places,
       coldPlaces,
+      coldSlowdown: concurrency.slowdown(),
     };
   };
 
@@ -167,6 +174,11 @@
       });
       remaining = concurrency.remaining();
     },
+    restart: (limit) => {
+      observed.clear();
+      remaining = new Map();
+      concurrency.restart(limit);
+    },
     limits: (engine) => (isAdaptive ? learntLimits(engine) : fixedLimits(engine)),
     remainingOn,
   };
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -71,6 +71,8 @@
    * is used for models that no request waits for.
    */
   readonly sharesCapacity?: boolean;
+  /** Returns the number of concurrent cold loads that the last leader has learnt, if it is known. */
+  readonly learntColdLoadLimit?: () => number | undefined;
   /** Called when the learnt number of concurrent cold loads has changed. */
   readonly onColdLoadLimit?: (limit: number) => void;
   /** Called before the order to unload a model is sent. */
@@ -100,6 +102,7 @@
   } = options;
   const { onOutlook = () => {}, onUnloading = () => {}, isLimited = () => false } = options;
   const { sharesCapacity = false, onColdLoadLimit = () => {} } = options;
+  const { learntColdLoadLimit = () => undefined } = options;
   const serverStates = new Map<string, ServerState>();
   let latestServers: ServerView = new Map();
   const wantBook = createWantBook(clock);
@@ -184,6 +187,7 @@
     if (currentFencing !== lastFencing) {
       applyServers();
       serverStates.forEach(resetServerState);
+      if (currentFencing !== undefined) coldLoads.restart(learntColdLoadLimit());
     }
     lastFencing = currentFencing;
     if (currentFencing === undefined) return;
--- a/packages/loading/src/concurrency.ts
+++ b/packages/loading/src/concurrency.ts
@@ -24,8 +24,15 @@
 /** Learns how many cold loads the weight store serves at full speed. */
 export interface ConcurrencyLimit {
   observe(observation: ColdLoadObservation): void;
+  /**
+   * Forgets the observed loads, as they were not observed for some time.
+   * @param limit the limit that another leader has learnt since; unchanged if undefined
+   */
+  restart(limit: number | undefined): void;
   /** Number of loads that may run concurrently, at least 1. */
   limit(): number;
+  /** Factor of the stated time that loads take at the limit, as far as it exceeds what is proven. */
+  slowdown(): number;
   /** Expected milliseconds until each observed load ends, at the learnt speed. */
   remaining(): ReadonlyMap<string, number>;
 }
@@ -44,8 +51,18 @@
  * every 400 ms and lag by some hundred.
  */
 const NOTICE_MILLISECONDS = 600;
+/**
+ * Factor of the stated time up to which a load counts as punctual. Smaller delays have other causes, and
+ * a limit that is one too high for a weight store of 8 loads costs no more than this.
+ */
+const TOLERATED_FACTOR = 1.1;
 /** Time without a slow load after which one more concurrent load is tried. */
-const PROBE_MILLISECONDS = 30_000;
+const PROBE_MILLISECONDS = 60_000;
+/**
+ * Growth of the limit while no load has been slow. With 2, the loads that show that the limit is too high
+ * take twice their time, which is more than callers wait.
+ */
+const GROWTH_FACTOR = 1.5;
 /** Part of the limit that must have been in use on average before the limit grows. */
 const USED_FRACTION = 0.75;
 /** Fraction from which a limit is rounded up: measurements include the time to notice the end. */
@@ -85,11 +102,12 @@
 
 /**
  * Returns the capacity of the weight store at which a load has done exactly its stated work by now;
- * infinite if the load has not taken longer than stated.
+ * infinite if the load has kept to its stated time.
  */
 function estimateCapacity(load: LoadRecord): number {
-  const work = load.statedMilliseconds + NOTICE_MILLISECONDS;
-  if (sumTime(load) <= work) return Infinity;
+  const { statedMilliseconds } = load;
+  const work = statedMilliseconds + NOTICE_MILLISECONDS;
+  if (sumTime(load) <= statedMilliseconds * TOLERATED_FACTOR + NOTICE_MILLISECONDS) return Infinity;
   let low = 0;
   let high = Math.max(...load.millisecondsByConcurrency.keys());
   for (let step = 0; step < BISECTION_STEPS; step += 1) {
@@ -108,6 +126,8 @@
   const { initialLimit = INITIAL_LIMIT, onChange = () => {} } = options;
   const loads = new Map<string, LoadRecord>();
   let capacity = initialLimit;
+  /** Concurrency at which loads have kept to their stated time; estimates rest on it. */
+  let proven = initialLimit;
   let observedAt: number | undefined;
   let otherLoads = 0;
   let slowAt: number | undefined;
@@ -133,19 +153,21 @@
   const recordPunctualLoad = (load: LoadRecord, now: number, isMoreWanted: boolean): void => {
     const concurrency = averageConcurrency(load);
     punctual.push({ at: now, concurrency });
+    proven = Math.max(proven, concurrency);
     if (concurrency > capacity) setCapacity(concurrency, now);
     // Loads that began before the last change say nothing about the present limit.
     if (!isMoreWanted || load.startedAt < changedAt || concurrency < limit() * USED_FRACTION)
       return;
-    if (slowAt === undefined) setCapacity(limit() * 2, now);
+    if (slowAt === undefined) setCapacity(Math.ceil(limit() * GROWTH_FACTOR), now);
     else if (now - slowAt > PROBE_MILLISECONDS) setCapacity(limit() + 1, now);
   };
 
   const recordSlowLoad = (load: LoadRecord, estimate: number, now: number): void => {
-    const proven = provenSince(load.startedAt);
-    if (proven >= averageConcurrency(load)) return;
+    const punctualConcurrency = provenSince(load.startedAt);
+    if (punctualConcurrency >= averageConcurrency(load)) return;
     slowAt = now;
-    setCapacity(Math.max(estimate, proven), now);
+    setCapacity(Math.max(estimate, punctualConcurrency), now);
+    proven = capacity;
   };
 
   return {
@@ -177,11 +199,22 @@
       const oldestStart = Math.min(...[...loads.values()].map(({ startedAt }) => startedAt));
       punctual = punctual.filter(({ at }) => at > oldestStart);
     },
+    restart: (knownLimit) => {
+      loads.clear();
+      punctual = [];
+      otherLoads = 0;
+      observedAt = undefined;
+      if (knownLimit === undefined || knownLimit === limit()) return;
+      capacity = knownLimit;
+      proven = knownLimit;
+      onChange(knownLimit);
+    },
     limit,
+    slowdown: () => Math.max(1, (limit() + ROUND_UP_FROM - 1) / proven),
     remaining: () => {
       const work = [...loads].map(([id, load]): [string, number] => {
         const overdue = Math.max(0, sumTime(load) - load.statedMilliseconds) * OVERDUE_FACTOR;
-        const left = load.statedMilliseconds - progressOf(load, capacity);
+        const left = load.statedMilliseconds - progressOf(load, proven);
         return [id, Math.max(MIN_REMAINING_MILLISECONDS, overdue, left)];
       });
       // The loads with the least work end first; the others go on faster from then on.
@@ -191,7 +224,7 @@
       let time = 0;
       work.forEach(([id, left], index) => {
         const concurrency = work.length - index + otherLoads;
-        time += (left - done) * Math.max(1, concurrency / capacity);
+        time += (left - done) * Math.max(1, concurrency / proven);
         done = left;
         ends.set(id, time);
       });
--- a/packages/loading/src/index.ts
+++ b/packages/loading/src/index.ts
@@ -24,6 +24,7 @@
 } from './engine.js';
 export { planLoads } from './plan.js';
 export {
+  MIN_SERVING_MILLISECONDS,
   type BackgroundNeed,
   type Outlook,
   type PlanInput,
--- a/packages/loading/src/plan-input.ts
+++ b/packages/loading/src/plan-input.ts
@@ -10,8 +10,18 @@
   readonly credit: number;
   /** Milliseconds until the first of them misses its objective; negative if it has. */
   readonly objectiveMilliseconds: number;
+  /** Milliseconds until the last of them must be answered; absent if it is unknown. */
+  readonly remainingMilliseconds?: number;
 }
 
+/**
+ * Longest expected time that is a promise to callers, in milliseconds. Callers have 15 to 20 s, so that
+ * none of them waits longer, or returns after such a time.
+ */
+export const PROMISE_HORIZON_MILLISECONDS = 15_000;
+/** Time that serving takes once the model is ready; at least this must remain after a wait. */
+export const MIN_SERVING_MILLISECONDS = 800;
+
 /** A model whose servers are overloaded, so that another replica is worth its cost. */
 export interface ReplicaNeed {
   readonly model: string;
@@ -80,6 +90,8 @@
    * instead of being counted in rounds.
    */
   readonly coldPlaces?: readonly number[];
+  /** Factor of the stated time that cold loads take; 1 by default. */
+  readonly coldSlowdown?: number;
   /** When callers were first told a time, by model. If present, loads keep that order. */
   readonly promises?: ReadonlyMap<string, number>;
   /** Loads for what is idle after the wants and replicas, in this order. */
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -2,14 +2,16 @@
 import type { ModelProfile } from '@bulrushspar/catalogue';
 import { createColdQueue } from './cold-queue.js';
 import { createEvictionCosts } from './evictions.js';
-import type {
-  BackgroundNeed,
-  PlanInput,
-  PlannedLoad,
-  PlannedModel,
-  PlannedServer,
-  ReplicaNeed,
-  Want,
+import {
+  MIN_SERVING_MILLISECONDS,
+  PROMISE_HORIZON_MILLISECONDS,
+  type BackgroundNeed,
+  type PlanInput,
+  type PlannedLoad,
+  type PlannedModel,
+  type PlannedServer,
+  type ReplicaNeed,
+  type Want,
 } from './plan-input.js';
 import { compareUrgency, createPromiseOrder } from './urgency.js';
 
@@ -48,6 +50,8 @@
   readonly count: number;
   /** Delay that it saves each of them, in milliseconds. */
   readonly savedMilliseconds: number;
+  /** Requests per second of the model if only what has far fewer requests may be evicted for it. */
+  readonly victimRate?: number;
 }
 
 /** State of a server, including the loads planned so far. */
@@ -59,12 +63,12 @@
 }
 
 /** Estimates the duration of a load by the nearest copy of the weights. */
-function estimateLoad(server: PlannedServer, model: ModelProfile) {
+function estimateLoad(server: PlannedServer, model: ModelProfile, coldSlowdown = 1) {
   if (server.inMemory.has(model.name))
     return { loadMilliseconds: model.memoryMilliseconds, cold: false };
   if (server.onDisk.has(model.name))
     return { loadMilliseconds: model.diskMilliseconds, cold: false };
-  return { loadMilliseconds: model.coldMilliseconds, cold: true };
+  return { loadMilliseconds: model.coldMilliseconds * coldSlowdown, cold: true };
 }
 
 /**
@@ -76,6 +80,8 @@
   const { profile, servers, wants, replicas = [], background = [], promises } = input;
   const costs = createEvictionCosts(input);
   const coldQueue = createColdQueue(input);
+  const { requestsPerSecond = () => 0 } = input;
+  const reservedModels = new Set<string>();
   const occupancy = new Map<string, Occupancy>(
     servers.map((server) => [
       server.id,
@@ -85,13 +91,16 @@
   const evaluateServer = (
     server: PlannedServer,
     model: ModelProfile,
-    { count, savedMilliseconds }: LoadBenefit,
+    { count, savedMilliseconds, victimRate }: LoadBenefit,
   ): Candidate | undefined => {
     const { busyMilliseconds, models } = occupancy.get(server.id)!;
-    const { loadMilliseconds, cold } = estimateLoad(server, model);
+    const { loadMilliseconds, cold } = estimateLoad(server, model, input.coldSlowdown);
     const wait = cold ? coldQueue.waitFor(model) : 0;
     if (wait === Infinity) return undefined;
-    const victims = costs.chooseVictims(server, models, model);
+    const victims =
+      victimRate === undefined
+        ? costs.chooseVictims(server, models, model)
+        : costs.chooseIdleVictims(server, models, model, victimRate);
     if (!victims) return undefined;
     const unloadMilliseconds = victims.reduce(
       (sum, { running }) => sum + UNLOAD_MILLISECONDS + (running > 0 ? DRAIN_MILLISECONDS : 0),
@@ -112,6 +121,17 @@
     };
   };
 
+  const toLoad = (
+    { server, victims, readyMilliseconds, cold }: Candidate,
+    model: ModelProfile,
+  ) => ({
+    model: model.name,
+    server: server.id,
+    victims: victims.map(({ name }) => name),
+    readyMilliseconds,
+    cold,
+  });
+
   const reserveServer = (candidate: Candidate, model: ModelProfile): PlannedLoad => {
     const state = occupancy.get(candidate.server.id)!;
     const startsNow =
@@ -128,27 +148,39 @@
         { name: model.name, adapters: 0, running: 1, recentlyLoaded: true },
       ];
     }
-    return {
-      model: model.name,
-      server: candidate.server.id,
-      victims: candidate.victims.map(({ name }) => name),
-      readyMilliseconds: candidate.readyMilliseconds,
-      cold: candidate.cold,
-      startsNow,
-    };
+    reservedModels.add(model.name);
+    return { ...toLoad(candidate, model), startsNow };
   };
 
   const findCheapest = (candidates: readonly Candidate[]): Candidate | undefined =>
     candidates.length === 0 ? undefined : candidates.reduce((a, b) => (b.cost < a.cost ? b : a));
 
+  const findBest = (model: ModelProfile, benefit: LoadBenefit): Candidate | undefined =>
+    findCheapest(servers.flatMap((server) => evaluateServer(server, model, benefit) ?? []));
+
+  /**
+   * Plans a load for a want whose requests end before the model can be ready. Its callers are told a time,
+   * which is kept if it is near; otherwise the load waits until the model is the most wanted one.
+   */
+  const planLateWant = (want: Want, model: ModelProfile, best: Candidate): PlannedLoad[] => {
+    const victimRate = requestsPerSecond(model.name);
+    const benefit = { count: want.count, savedMilliseconds: UNSERVED_DELAY_MILLISECONDS };
+    const candidate = findBest(model, { ...benefit, victimRate });
+    if (candidate && candidate.readyMilliseconds <= PROMISE_HORIZON_MILLISECONDS)
+      return [reserveServer(candidate, model)];
+    const load = toLoad(candidate ?? best, model);
+    const readyMilliseconds = Math.max(load.readyMilliseconds, PROMISE_HORIZON_MILLISECONDS + 1);
+    return [{ ...load, readyMilliseconds, startsNow: false }];
+  };
+
   const planWant = (want: Want): PlannedLoad[] => {
     const model = profile.models.get(want.model);
     if (!model) return [];
-    const benefit = { count: want.count, savedMilliseconds: UNSERVED_DELAY_MILLISECONDS };
-    const best = findCheapest(
-      servers.flatMap((server) => evaluateServer(server, model, benefit) ?? []),
-    );
-    return best ? [reserveServer(best, model)] : [];
+    const { count, remainingMilliseconds = Infinity } = want;
+    const best = findBest(model, { count, savedMilliseconds: UNSERVED_DELAY_MILLISECONDS });
+    if (!best) return [];
+    const isLate = best.readyMilliseconds + MIN_SERVING_MILLISECONDS > remainingMilliseconds;
+    return promises && isLate ? planLateWant(want, model, best) : [reserveServer(best, model)];
   };
 
   /**
@@ -183,12 +215,12 @@
   /** Plans a load that no request waits for, on a server without an order in progress. */
   const planBackground = (need: BackgroundNeed): PlannedLoad[] => {
     const model = profile.models.get(need.model);
-    if (!model) return [];
+    if (!model || reservedModels.has(need.model)) return [];
     const mayLoadCold = coldQueue.free() > need.placesKept;
     const candidates = servers.flatMap((server): Candidate[] => {
       const { hasPlannedLoad, busyMilliseconds, models } = occupancy.get(server.id)!;
       if (hasPlannedLoad || busyMilliseconds > 0) return [];
-      const { loadMilliseconds, cold } = estimateLoad(server, model);
+      const { loadMilliseconds, cold } = estimateLoad(server, model, input.coldSlowdown);
       if ((cold && !mayLoadCold) || models.some(({ name }) => name === model.name)) return [];
       const victims = costs.chooseIdleVictims(server, models, model, need.requestsPerSecond);
       if (!victims) return [];
--- a/packages/loading/src/promises.ts
+++ b/packages/loading/src/promises.ts
@@ -1,4 +1,4 @@
-import type { Outlook, Want } from './plan-input.js';
+import { PROMISE_HORIZON_MILLISECONDS, type Outlook, type Want } from './plan-input.js';
 
 /** Keeps the models whose callers were told a time, in the order in which they were told. */
 export interface Promises {
@@ -10,12 +10,6 @@
   current(): ReadonlyMap<string, number>;
 }
 
-/**
- * Longest told time that is a promise, in milliseconds. Callers have 15 to 20 s, so that none of them
- * waits longer or returns then.
- */
-const PROMISE_HORIZON_MILLISECONDS = 15_000;
-
 /** Creates an empty record of promises. */
 export function createPromises(): Promises {
   const toldAt = new Map<string, number>();
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@bulrushspar/clock';
 import type { Logger } from '@bulrushspar/logging';
 import { findBackgroundNeeds } from './background.js';
-import { toPlannedServer, type ServerState } from './book.js';
+import type { ServerState } from './book.js';
 import type { ColdLoads } from './cold-loads.js';
 import type { DemandTracker } from './demand.js';
 import { ORDER_OPERATION } from './engine.js';
@@ -16,6 +16,7 @@
   ReplicaNeed,
   Want,
 } from './plan-input.js';
+import { toPlannedServer } from './planned-server.js';
 import { createPromises, listPromisedWants } from './promises.js';
 import { findReplicaNeeds } from './replicas.js';
 
@@ -174,19 +175,17 @@
   const findBackground = (
     service: string,
     { engine, plannedServers, isMissing }: ServiceView,
-    wants: readonly Want[],
     coldLoadLimit: number,
   ): readonly BackgroundNeed[] => {
     const now = clock.monotonic();
     if (now - (backgroundAt.get(service) ?? -Infinity) < BACKGROUND_INTERVAL_MILLISECONDS)
       return [];
     backgroundAt.set(service, now);
-    const waitedModels = new Set(wants.map(({ model }) => model));
     return findBackgroundNeeds({
       profile: engine,
       servers: plannedServers,
       demand,
-      isMissing: (model) => isMissing(model) && !waitedModels.has(model),
+      isMissing,
       coldLoadLimit,
     });
   };
@@ -200,15 +199,10 @@
   };
 
   /** Input for the parts of a plan that are on only if capacity is shared. */
-  const sharedInput = (
-    service: string,
-    view: ServiceView,
-    wants: readonly Want[],
-    coldLoadLimit: number,
-  ) => ({
+  const sharedInput = (service: string, view: ServiceView, coldLoadLimit: number) => ({
     promises: promises.current(),
     requestsPerSecond: demand.requestsPerSecond,
-    background: findBackground(service, view, wants, coldLoadLimit),
+    background: findBackground(service, view, coldLoadLimit),
   });
 
   const plan = (service: string, wants: readonly Want[]): readonly Outlook[] => {
@@ -228,7 +222,7 @@
     ].filter(({ model }) => isMissing(model));
     const limits = coldLoads.limits(engine);
     const shared = sharesCapacity
-      ? sharedInput(service, view, missingWants, limits.maxConcurrentColdLoads ?? 1)
+      ? sharedInput(service, view, limits.maxConcurrentColdLoads ?? 1)
       : undefined;
     const loads = planLoads({
       profile: engine,
@@ -247,7 +241,13 @@
       loads.some(({ cold, startsNow }) => cold && !startsNow) ||
       (isFull && (shared?.background ?? []).some((need) => need.requestsPerSecond !== undefined)) ||
       (isFull && moreWanted && shared?.background.length === 0);
-    const loadByModel = new Map(loads.map((load) => [load.model, load]));
+    // A load that starts replaces the late one that was planned for the same model.
+    const loadByModel = new Map(
+      [...loads.filter(({ startsNow }) => !startsNow), ...started].map((load) => [
+        load.model,
+        load,
+      ]),
+    );
     return knownWants.map(({ model }) => {
       if (isResident(model)) return { model, readyMilliseconds: 0 };
       const { readyMilliseconds, server } = loadByModel.get(model) ?? {};
--- a/packages/loading/src/wants.ts
+++ b/packages/loading/src/wants.ts
@@ -31,11 +31,13 @@
         wants.forEach((want) => {
           const known = merged.get(want.model);
           const objective = want.objectiveMilliseconds - (now - at);
+          const remaining = (want.remainingMilliseconds ?? Infinity) - (now - at);
           merged.set(want.model, {
             model: want.model,
             count: want.count + (known?.count ?? 0),
             credit: want.credit + (known?.credit ?? 0),
             objectiveMilliseconds: Math.min(objective, known?.objectiveMilliseconds ?? Infinity),
+            remainingMilliseconds: Math.max(remaining, known?.remainingMilliseconds ?? -Infinity),
           });
         }),
       );
--- a/packages/serving/src/waits.ts
+++ b/packages/serving/src/waits.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bulrushspar/clock';
-import type { Outlook, Want } from '@bulrushspar/loading';
+import { MIN_SERVING_MILLISECONDS, type Outlook, type Want } from '@bulrushspar/loading';
 
 /** Reason why a wait for a model ended. */
 export const WAIT_END = {
@@ -55,10 +55,14 @@
   readonly outlookTimeoutMilliseconds?: number;
   /** Time for which the leader may plan no load of a model before its requests are refused. */
   readonly unplannedTimeoutMilliseconds?: number;
+  /** Random number from 0 to 1; if present, the times told to refused callers are spread. */
+  readonly random?: () => number;
 }
 
-/** Time that serving takes once the model is ready; at least this must remain after a wait. */
-const MIN_SERVING_MILLISECONDS = 800;
+/** Part of the time until a model is ready over which the return of refused callers is spread. */
+const RETURN_SPREAD_FACTOR = 0.1;
+/** Least spread, in milliseconds: the interval in which hosts learn that the model is ready. */
+const MIN_RETURN_SPREAD_MILLISECONDS = 300;
 
 interface Waiter {
   readonly request: ModelWait;
@@ -69,7 +73,7 @@
 /** Creates the model waits of one host. */
 export function createModelWaits(options: ModelWaitsOptions): ModelWaits {
   const { clock, onNewModel = () => {}, outlookTimeoutMilliseconds = 1500 } = options;
-  const { unplannedTimeoutMilliseconds = 400 } = options;
+  const { unplannedTimeoutMilliseconds = 400, random } = options;
   const waiters = new Map<string, Set<Waiter>>();
   /** Time of the last outlook for a model, or of the first wait for it if there was none since. */
   const lastOutlookAt = new Map<string, number>();
@@ -125,10 +129,20 @@
       onNewModel();
     });
 
+  /** Adds a random time, so that refused callers do not all return at the same moment. */
+  const spreadReturn = (readyMilliseconds: number): number => {
+    if (!random) return readyMilliseconds;
+    const spread = readyMilliseconds * RETURN_SPREAD_FACTOR;
+    return readyMilliseconds + random() * Math.max(MIN_RETURN_SPREAD_MILLISECONDS, spread);
+  };
+
   const endLateWaits = (waiting: ReadonlySet<Waiter>, readyMilliseconds: number): void => {
     [...waiting].forEach((waiter) => {
       if (readyMilliseconds + MIN_SERVING_MILLISECONDS <= remainingMillisecondsOf(waiter)) return;
-      waiter.settle({ end: WAIT_END.TOO_LATE, readyMilliseconds });
+      waiter.settle({
+        end: WAIT_END.TOO_LATE,
+        readyMilliseconds: spreadReturn(readyMilliseconds),
+      });
     });
   };
 
@@ -181,6 +195,7 @@
           count: waiting.size,
           credit: [...waiting].reduce((sum, { request }) => sum + request.credit, 0),
           objectiveMilliseconds: Math.min(...objectives),
+          remainingMilliseconds: Math.max(...[...waiting].map(remainingMillisecondsOf)),
         };
       }),
   };
