--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -248,7 +248,11 @@
     );
     return capable.length > 0 && capable.every(({ entry }) => entry.evacuated);
   };
-  const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
+  const waits = createModelWaits({
+    clock,
+    onNewModel: () => sendWants(),
+    ...(options.sharesCapacity ? { random } : {}),
+  });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
   const streams = createStreamVersions({
@@ -429,6 +433,7 @@
     handoverMilliseconds: bounds.handoverMilliseconds,
     eras,
     isFirstStart: options.isFirstStart,
+    sharesCapacity: options.sharesCapacity ?? false,
     reachesServers: options.reachesServers,
     canOthersReachStore: () => gossip.canOthersReachStore(),
     contentionRank: () => fleet.contentionRank(),
