Balancing: estimate of requests, speed and completion, and the choice by room (not wired yet)

Cause: hosts that compare all servers by the same old figures all choose the same one. Change: package balancing with the knowledge of a server, its learnt speed and the choice by expected room; patterns of load in bench that play the selection of serving without a network.

--- /dev/null
+++ b/packages/balancing/src/index.ts
@@ -0,0 +1,19 @@
+/** Choice among servers of unequal speed and load from figures that are out of date. */
+export { createServerChoice, type ChoiceOptions, type ServerChoice } from './choice.js';
+export {
+  createServerKnowledge,
+  estimateRequests,
+  hasReport,
+  OTHERS_AGE_MILLISECONDS,
+  recentFailureRate,
+  recordRejection,
+  recordReport,
+  type LoadReport,
+  type ServerKnowledge,
+} from './knowledge.js';
+export {
+  createKindEstimate,
+  estimateSlowness,
+  recordSlowness,
+  type KindEstimate,
+} from './speed.js';
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,6 +6,9 @@
   type ChatOptions,
   type ServiceCallOptions,
 } from './call.js';
+export { PATTERNS } from './balance.js';
+export { playPattern, type LoadPattern, type PatternResult } from './patterns.js';
+export { createEventQueue, createRandom, type EventQueue } from './simulation.js';
 export type { FleetWorld } from './world.js';
 export {
   hashKey,
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,12 +1,14 @@
 #!/usr/bin/env node
-/** Measurement programs: `bench overhead|streams|fleet|credit|cold [--json FILE]`. */
+/** Measurement programs: `bench balance|overhead|streams|fleet|credit|cold [--json FILE]`. */
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
+import { measureBalance } from './balance.js';
 import { measureColdStarts } from './cold.js';
 import { measureCreditRows, measureFleet } from './control.js';
 import { measureOverhead, measureStreams } from './overhead.js';
 
 const PROGRAMS: Readonly<Record<string, () => Promise<unknown>>> = {
+  balance: measureBalance,
   cold: measureColdStarts,
   credit: measureCreditRows,
   fleet: measureFleet,
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -1,4 +1,5 @@
 import { chooseServer } from '@bulrushspar/routing';
+import type { Balancing } from './balance.js';
 import type { ModelRequirements } from './call.js';
 import type { ServerState } from './servers.js';
 
@@ -21,18 +22,20 @@
   readonly hasAdapter: (state: ServerState, model: string, adapter: string) => boolean;
   /** @returns a number from 0 up to but not including 1 */
   readonly random: () => number;
+  /** Present if hosts share the capacity of the servers: it selects instead of the lowest delay. */
+  readonly balancing?: Balancing | undefined;
 }
 
 /** Expected delay at a server whose slots are all in use. */
 const FULL_SERVER_COST_MILLISECONDS = 400;
 /** Expected delay at a server that has limited its requests, beside the wait for its next one. */
-const LIMITED_SERVER_COST_MILLISECONDS = 400;
+export const LIMITED_SERVER_COST_MILLISECONDS = 400;
 /** Round-trip time to another failure domain. */
-const CROSS_DOMAIN_COST_MILLISECONDS = 3;
+export const CROSS_DOMAIN_COST_MILLISECONDS = 3;
 /** Expected delay of a missing adapter, whose load is ordered through the leader. */
-const MISSING_ADAPTER_COST_MILLISECONDS = 25;
+export const MISSING_ADAPTER_COST_MILLISECONDS = 25;
 /** Expected delay at a server that fails every request. */
-const FAILURE_COST_MILLISECONDS = 2000;
+export const FAILURE_COST_MILLISECONDS = 2000;
 /** Prompt tokens that a server processes in a millisecond; converts uncached tokens to a delay. */
 const PROMPT_TOKENS_PER_MILLISECOND = 30;
 /** Time for which a prompt part is expected to stay in a server's cache. */
@@ -50,6 +53,11 @@
   return Math.max(counted, reportedLoad.running + reportedLoad.waiting);
 }
 
+/** @returns whether a prompt part that was sent to a server at a time is expected in its cache */
+export function isCached(sentAt: number | undefined, now: number): boolean {
+  return sentAt !== undefined && now - sentAt < PROMPT_PART_LIFETIME_MILLISECONDS;
+}
+
 function countUncachedPromptTokens(
   state: ServerState,
   requirements: ModelRequirements,
@@ -59,7 +67,7 @@
   let cached = true;
   requirements.promptParts.slice(0, -1).forEach(({ id, tokens }) => {
     const at = state.promptPartTimes.get(promptPartKey(requirements, id));
-    cached &&= at !== undefined && now - at < PROMPT_PART_LIFETIME_MILLISECONDS;
+    cached &&= isCached(at, now);
     if (!cached) uncached += tokens;
   });
   return uncached;
@@ -95,6 +103,7 @@
 
 /** Selects the server with the lowest expected delay; avoided servers only if there is no other. */
 export function selectServer(selection: ServerSelection): ServerState | undefined {
+  if (selection.balancing) return selection.balancing.select(selection);
   const { candidates, requirements, excluded, now, random, maxLimitMilliseconds } = selection;
   return chooseServer({
     candidates,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,6 +22,7 @@
   type AttemptRunnerOptions,
   type ActiveRequest,
 } from './attempts.js';
+export { createBalancing, type BalancedSend, type Balancing } from './balance.js';
 export {
   isRetryable,
   type AnswerHead,
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -1,3 +1,4 @@
+import { createServerKnowledge, type ServerKnowledge } from '@bulrushspar/balancing';
 import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
 import type { ServerLoad } from './call.js';
@@ -28,6 +29,8 @@
   readonly unloadOrderTimes: Map<string, number>;
   /** Times when this host last sent a prompt part to the server, by key "model/adapter/part". */
   readonly promptPartTimes: Map<string, number>;
+  /** What this host has learnt about load and speed; used where hosts share capacity. */
+  readonly knowledge: ServerKnowledge;
 }
 
 /** The states that this host keeps for all servers. */
@@ -60,6 +63,14 @@
 /** Time after an unload order until a model still in the entry counts as not unloaded. */
 const UNLOAD_TIMEOUT_MILLISECONDS = 2500;
 
+/** Whether an entry lists a model; a loop, since selection asks it of each server for each request. */
+function holdsModel({ models }: ServerEntry, model: string): boolean {
+  for (let index = 0; index < models.length; index += 1) {
+    if (models[index]!.name === model) return true;
+  }
+  return false;
+}
+
 /**
  * Creates the states without any server.
  * @param countFromOtherHosts returns the requests of the other hosts that are in flight at a server
@@ -86,6 +97,7 @@
     leavingSince: undefined,
     unloadOrderTimes: new Map(),
     promptPartTimes: new Map(),
+    knowledge: createServerKnowledge(),
   });
 
   /** A leaving server may receive requests for a short time if no other server holds their model. */
@@ -130,6 +142,7 @@
     recordOutcome: (state, failed) => {
       const changed = state;
       changed.failureRate += ((failed ? 1 : 0) - changed.failureRate) * FAILURE_RATE_WEIGHT;
+      if (failed) changed.knowledge.failedAt = clock.monotonic();
     },
     avoid: (state, milliseconds) => {
       const changed = state;
@@ -145,13 +158,15 @@
       states.get(id)?.unloadOrderTimes.set(model, clock.monotonic());
     },
     canServeModel: ({ entry, unloadOrderTimes, leavingSince }, model) => {
-      if (!entry.models.some(({ name }) => name === model)) return false;
+      if (!holdsModel(entry, model)) return false;
       if (entry.leaving && !isLastResort(model, leavingSince)) return false;
       const orderedAt = unloadOrderTimes.get(model);
       return orderedAt === undefined || clock.monotonic() - orderedAt > UNLOAD_TIMEOUT_MILLISECONDS;
     },
     hasAdapter: (state, model, adapter) => {
-      const loadedAt = state.adapterLoadTimes.get(`${model}/${adapter}`);
+      const { adapterLoadTimes } = state;
+      const loadedAt =
+        adapterLoadTimes.size > 0 ? adapterLoadTimes.get(`${model}/${adapter}`) : undefined;
       if (
         loadedAt !== undefined &&
         clock.monotonic() - loadedAt < ADAPTER_REPORT_TIMEOUT_MILLISECONDS
