Balancing: measured choice by room, tests of the load patterns, wiring where capacity is shared

Cause: each host picked the lowest of the same old figures. Change: serving selects by the room below the level that the arrivals reach, by learnt slowness and by tokens, where sharesCapacity is true; a prompt that fills any server's memory is refused. bench balance plays the patterns, bench choice times a choice.

--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -11,9 +11,11 @@
   type LoadReport,
   type ServerKnowledge,
 } from './knowledge.js';
+export { computeLoadRatios, type ServerShare } from './share.js';
 export {
   createKindEstimate,
   estimateSlowness,
   recordSlowness,
   type KindEstimate,
 } from './speed.js';
+export { computePreemptionMilliseconds, countUsableSlots, estimateTokens } from './tokens.js';
--- a/packages/balancing/src/knowledge.ts
+++ b/packages/balancing/src/knowledge.ts
@@ -29,7 +29,6 @@
   readonly slowdown?: number;
 }
 
-
 /** Age of the counts of other hosts: messages each 200 ms over up to two hubs, 200 to 500 ms. */
 export const OTHERS_AGE_MILLISECONDS = 350;
 /**
--- a/packages/bench/src/balance.ts
+++ b/packages/bench/src/balance.ts
@@ -1,5 +1,6 @@
-/** Program `balance`: the patterns of load with and without shared capacity, and the time of a choice. */
-import { playPattern, type LoadPattern, type PatternResult } from './patterns.js';
+/** Program `balance`: the patterns of load with and without shared capacity. */
+import type { LoadPattern, PatternResult } from './pattern.js';
+import { playPattern } from './patterns.js';
 
 /** The patterns of docs/design/balancing.md, by name. */
 export const PATTERNS: Readonly<Record<string, Omit<LoadPattern, 'isBalanced' | 'seed'>>> = {
@@ -128,7 +129,7 @@
 
 /** Plays all patterns and prints a table. */
 export function measureBalance(): Promise<unknown> {
-  const only = process.env['BALANCE_PATTERN'];
+  const { BALANCE_PATTERN: only } = process.env;
   const rows = Object.entries(PATTERNS)
     .filter(([name]) => only === undefined || name.includes(only))
     .flatMap(([name, pattern]) =>
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -7,7 +7,8 @@
   type ServiceCallOptions,
 } from './call.js';
 export { PATTERNS } from './balance.js';
-export { playPattern, type LoadPattern, type PatternResult } from './patterns.js';
+export { type LoadPattern, type PatternResult } from './pattern.js';
+export { playPattern } from './patterns.js';
 export { createEventQueue, createRandom, type EventQueue } from './simulation.js';
 export type { FleetWorld } from './world.js';
 export {
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,14 +1,16 @@
 #!/usr/bin/env node
-/** Measurement programs: `bench balance|overhead|streams|fleet|credit|cold [--json FILE]`. */
+/** Measurement programs: `bench balance|choice|overhead|streams|fleet|credit|cold [--json FILE]`. */
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { measureBalance } from './balance.js';
+import { measureChoice } from './choice.js';
 import { measureColdStarts } from './cold.js';
 import { measureCreditRows, measureFleet } from './control.js';
 import { measureOverhead, measureStreams } from './overhead.js';
 
 const PROGRAMS: Readonly<Record<string, () => Promise<unknown>>> = {
   balance: measureBalance,
+  choice: measureChoice,
   cold: measureColdStarts,
   credit: measureCreditRows,
   fleet: measureFleet,
--- a/packages/bench/src/patterns.ts
+++ b/packages/bench/src/patterns.ts
@@ -2,7 +2,6 @@
  * Hosts that choose servers from figures that are out of date, without a network: seeded arrivals, the
  * selection of `serving`, and servers with slots, a queue, a speed and a cache of prompts.
  */
-import type { ServerEntry } from '@bulrushspar/catalogue';
 import {
   createBalancing,
   promptPartKey,
@@ -14,63 +13,15 @@
   type ServerState,
 } from '@bulrushspar/serving';
 import { createServerKnowledge } from '@bulrushspar/balancing';
+import {
+  createEntry,
+  createSimulatedServers,
+  type LoadPattern,
+  type PatternResult,
+  type SimulatedServer,
+} from './pattern.js';
 import { createEventQueue, createRandom } from './simulation.js';
 
-/** A pattern of load. */
-export interface LoadPattern {
-  readonly hosts: number;
-  readonly servers: number;
-  readonly slots: number;
-  readonly requestsPerSecond: number;
-  /** Usual time of a request at a server. */
-  readonly serviceMilliseconds: number;
-  /** `uneven`: every third server is 2 times slower; `changing`: servers become 4 to 8 times slower. */
-  readonly speeds: 'equal' | 'uneven' | 'changing';
-  /** Whether servers report their slowness. */
-  readonly reportsSlowness?: boolean;
-  /** Number of prompts that requests share, of 1000 tokens each; 0 for none. */
-  readonly prompts?: number;
-  /** Number of models, each at few servers; 0 if every server can run every request. */
-  readonly models?: number;
-  readonly holdersPerModel?: number;
-  /** Requests that wait at a server before it rejects others. */
-  readonly maxWaiting?: number;
-  /** Servers that fail what they receive at once, and report no load. */
-  readonly failing?: number;
-  readonly seconds: number;
-  readonly seed: number;
-  /** Whether the hosts share capacity. */
-  readonly isBalanced: boolean;
-}
-
-/** What was measured. */
-export interface PatternResult {
-  /** Most requests at a server over the mean, averaged over samples. */
-  readonly busiestOverMean: number;
-  /** Most requests that a server received in 5 s over the mean, averaged. */
-  readonly receivedOverMean: number;
-  /** Share of the samples in which a request waits while an equal server has a free slot. */
-  readonly waitingWhileFree: number;
-  readonly p50Milliseconds: number;
-  readonly p99Milliseconds: number;
-  readonly firstEventP99Milliseconds: number;
-  readonly rejections: number;
-  readonly failures: number;
-  readonly requests: number;
-  readonly failuresInLastHalf: number;
-}
-
-interface SimulatedServer {
-  readonly index: number;
-  slowness: number;
-  running: number;
-  readonly queue: (() => void)[];
-  received: number;
-  readonly prompts: Map<string, number>;
-  readonly models: Set<string>;
-  readonly isFailing: boolean;
-}
-
 const SNAPSHOT_MILLISECONDS = 200;
 const SNAPSHOTS = 4;
 const SAMPLE_MILLISECONDS = 20;
@@ -92,47 +43,22 @@
 /** Plays a pattern. */
 export function playPattern(pattern: LoadPattern): PatternResult {
   const { hosts, slots, speeds, seconds, prompts = 0, models = 0 } = pattern;
-  const { holdersPerModel = 3, maxWaiting = Infinity, failing = 0 } = pattern;
+  const { maxWaiting = Infinity } = pattern;
   const random = createRandom(pattern.seed);
   const events = createEventQueue();
   const end = seconds * 1000;
-  const servers = Array.from(
-    { length: pattern.servers },
-    (_none, index): SimulatedServer => ({
-      index,
-      slowness: speeds === 'uneven' && index % 3 === 0 ? 2 : 1,
-      running: 0,
-      queue: [],
-      received: 0,
-      prompts: new Map(),
-      models: new Set(),
-      isFailing: index < failing,
-    }),
-  );
-  for (let model = 0; model < models; model += 1) {
-    for (let holder = 0; holder < holdersPerModel; holder += 1)
-      servers[Math.floor(random() * servers.length)]!.models.add(`m${model}`);
-  }
-  const entries = servers.map(
-    ({ index, models: held }): ServerEntry => ({
-      id: `s${index}`,
-      service: 'llm',
-      address: '127.0.0.1:1',
-      failureDomain: `d${index % 3}`,
-      slots,
-      leaving: false,
-      born: 1,
-      models: [...held].map((name) => ({ name, version: 1, adapters: [] })),
-      inMemory: [],
-      onDisk: [],
-    }),
-  );
+  const servers = createSimulatedServers(pattern, random);
+  const entries = servers.map((server) => createEntry(server, slots));
   const size = servers.length;
   const own = new Int16Array(hosts * size);
   const snapshots = Array.from({ length: SNAPSHOTS }, () => ({
     own: new Int16Array(hosts * size),
     total: new Float64Array(size),
+    slowdown: new Float64Array(size),
+    slowdownAt: new Float64Array(size),
   }));
+  const latestSlowdown = new Float64Array(size);
+  const latestSlowdownAt = new Float64Array(size);
   const delays = Array.from({ length: hosts }, () => 200 + random() * 100);
   const empty = new Map<string, number>();
   const states = Array.from({ length: hosts }, (_host, host) =>
@@ -145,6 +71,11 @@
       get outstandingFromOtherHosts() {
         const at = Math.max(0, Math.floor((events.now() - delays[host]!) / SNAPSHOT_MILLISECONDS));
         const snapshot = snapshots[at % SNAPSHOTS]!;
+        const { knowledge } = states[host]![index]!;
+        if (pattern.passesOnSlowness && snapshot.slowdownAt[index]! > knowledge.slowdownAt) {
+          knowledge.slowdown = snapshot.slowdown[index]!;
+          knowledge.slowdownAt = snapshot.slowdownAt[index]!;
+        }
         return snapshot.total[index]! - snapshot.own[host * size + index]!;
       },
       failureRate: 0,
@@ -159,7 +90,7 @@
     })),
   );
   const balancings: (Balancing | undefined)[] = states.map(() =>
-    pattern.isBalanced ? createBalancing(events.now) : undefined,
+    pattern.isBalanced ? createBalancing({ now: events.now }) : undefined,
   );
   const completions: number[] = [];
   const firstEvents: number[] = [];
@@ -175,7 +106,8 @@
     ...(pattern.reportsSlowness ? { slowdown: server.slowness } : {}),
   });
 
-  const run = (server: SimulatedServer, request: SimulatedRequest, onDone: () => void): void => {
+  const run = (place: number, request: SimulatedRequest, onDone: () => void): void => {
+    const server = servers[place]!;
     const { running, prompts: cached, slowness } = server;
     server.running += 1;
     const now = events.now();
@@ -243,6 +175,8 @@
     own[place]! += 1;
     server.received += 1;
     const recordLoad = (): void => {
+      latestSlowdown[server.index] = server.slowness;
+      latestSlowdownAt[server.index] = events.now();
       state.reportedLoad = { ...reportOf(server), at: events.now() };
       sent?.recordHead(reportOf(server), false);
     };
@@ -272,7 +206,7 @@
         firstEvents.push(events.now() - request.arrivedAt);
     };
     const begin = (): void =>
-      run(server, request, () => {
+      run(server.index, request, () => {
         own[place]! -= 1;
         sent?.recordEnd(true);
         record(state, false);
@@ -321,6 +255,8 @@
     const at = Math.round(events.now() / SNAPSHOT_MILLISECONDS);
     const snapshot = snapshots[at % SNAPSHOTS]!;
     snapshot.own.set(own);
+    snapshot.slowdown.set(latestSlowdown);
+    snapshot.slowdownAt.set(latestSlowdownAt);
     servers.forEach(({ index, running, queue }) => {
       snapshot.total[index] = running + queue.length;
     });
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -7,7 +7,7 @@
   return () => {
     state = (state + 0x6d2b79f5) | 0;
     let value = Math.imul(state ^ (state >>> 15), 1 | state);
-    value = (value + Math.imul(value ^ (value >>> 7), 61 | value)) ^ value;
+    value ^= value + Math.imul(value ^ (value >>> 7), 61 | value);
     return ((value ^ (value >>> 14)) >>> 0) / 2 ** 32;
   };
   /* eslint-enable no-bitwise */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 import type { Metrics } from '@bulrushspar/metrics';
 import {
   createAdmission,
+  createBalancing,
   createModelWaits,
   createRequestHandler,
   createServerStates,
@@ -171,6 +172,9 @@
   let isRefusing = false;
 
   const servers = createServerStates(clock, (server) => gossip.runningOnOtherHosts(server));
+  const balancing = options.sharesCapacity
+    ? createBalancing({ now: clock.monotonic, logger, servers, metrics: options.metrics })
+    : undefined;
   const demand = createDemandTracker({ clock });
   const quotas = createQuotas({
     clock,
@@ -482,6 +486,8 @@
     send: options.send,
     streams,
     onNotice: applyNotice,
+    balancing,
+    cacheTokensOf: (service) => configuration?.services.get(service)?.engine?.cacheTokens,
     ensureAdapter,
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
   });
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -93,7 +93,7 @@
   options: AttemptRunnerOptions<SomeCall>,
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, servers, limits, budget, crashGuard, send, streams } = options;
-  const { getStoppingRefusal, onNotice = () => {} } = options;
+  const { getStoppingRefusal, onNotice = () => {}, balancing } = options;
   const prepareServer = createServerPreparation<SomeCall>(options);
 
   const changeOutstanding = (
@@ -153,6 +153,8 @@
     const sink = relay.openSink();
     const sinceSent = startMonotonicStopwatch(clock);
     Object.assign(request, { begunAnswer: undefined });
+    const balanced = balancing?.recordSend(state, call);
+    let hasSucceeded = false;
     changeOutstanding(state, call.requirements?.model, 1);
     if (call.requirements) recordPromptParts(state, call.requirements);
     try {
@@ -175,6 +177,8 @@
               Object.assign(request, { begunAnswer: { framed: head.framed, sinceBegun } });
             }
             recordLoad(state, head);
+            balanced?.recordHead(head.load, head.notRun && !head.misdirected);
+            hasSucceeded = isSuccess(head.status);
             if (!head.misdirected) Object.assign(state, { isBrittle: head.isBrittle === true });
             if (!head.notRun && !head.misdirected && !head.namesLimit)
               limits.recordUnlimited(state.entry, sinceSent);
@@ -182,6 +186,7 @@
             sink.onHead(head, flow);
           },
           onData: (chunk) => {
+            if (hasSucceeded) balanced?.recordFirstEvent();
             sink.onData(chunk);
             recordBegun(request, state);
           },
@@ -189,9 +194,11 @@
         AbortSignal.any([signal, silenceController.signal]),
       );
       relay.finish();
+      if (hasSucceeded) balanced?.recordEnd(true);
     } finally {
       cancelSilenceTimeout();
       changeOutstanding(state, call.requirements?.model, -1);
+      balanced?.recordEnd(false);
     }
   };
 
--- a/packages/serving/src/balance.ts
+++ b/packages/serving/src/balance.ts
@@ -1,37 +1,29 @@
 /** Selects servers by expected room and completion, where hosts share the capacity of the servers. */
 import {
-  createKindEstimate,
+  computeLoadRatios,
+  computePreemptionMilliseconds,
+  countUsableSlots,
   createServerChoice,
   estimateRequests,
   estimateSlowness,
+  estimateTokens,
   OTHERS_AGE_MILLISECONDS,
   recentFailureRate,
-  recordRejection,
-  recordReport,
-  recordSlowness,
-  type KindEstimate,
 } from '@bulrushspar/balancing';
-import type { Call, ModelRequirements, ServerLoad } from './call.js';
+import type { Logger } from '@bulrushspar/logging';
+import type { Metrics } from '@bulrushspar/metrics';
+import type { Call } from './call.js';
 import {
+  countServerRequests,
   CROSS_DOMAIN_COST_MILLISECONDS,
   FAILURE_COST_MILLISECONDS,
-  isCached,
   LIMITED_SERVER_COST_MILLISECONDS,
   MISSING_ADAPTER_COST_MILLISECONDS,
-  promptPartKey,
   type ServerSelection,
 } from './choose.js';
-import type { ServerState } from './servers.js';
-
-/** One request as sent to a server, until it ends. */
-export interface BalancedSend {
-  /** Records the load that the server reported; undefined if the answer told none. */
-  recordHead(load: ServerLoad | undefined, wasRejected: boolean): void;
-  /** Records that the first event of the answer has arrived. */
-  recordFirstEvent(): void;
-  /** Records the end of the request. */
-  recordEnd(succeeded: boolean): void;
-}
+import { createObservations, SLOW_SERVER, type BalancedSend } from './observe.js';
+import { countTokens, createUncachedCounter } from './prompts.js';
+import type { ServerState, ServerStates } from './servers.js';
 
 /** What this host learns about servers from its own requests, and the selection that uses it. */
 export interface Balancing {
@@ -39,71 +31,36 @@
   select(selection: ServerSelection): ServerState | undefined;
   /** Records that a request is sent to a server; called before it counts as outstanding there. */
   recordSend(state: ServerState, call: Call): BalancedSend;
-  /** @returns tokens of the prompt and of the expected answer, as far as the caller told */
-  countTokens(call: Call): number;
+  /** @returns the highest utilization of a server over the mean of its service; 1 if few requests run */
+  busiestRatio(): number;
 }
 
-/** Kinds of requests that are told apart; a fleet has some hundred models. */
-const MAX_KINDS = 2000;
-/** Part of the output that a request has in memory on average while it runs. */
-const NO_TOKENS = 0;
-
-/** Prompt and expected answer tokens; the answer is estimated by the caller and at most its maximum. */
-function countTokens({ promptTokens, expectedAnswerTokens, maxAnswerTokens }: Call): number {
-  if (promptTokens === undefined) return NO_TOKENS;
-  const most = maxAnswerTokens ?? Infinity;
-  return promptTokens + Math.min(expectedAnswerTokens ?? Math.min(most, promptTokens), most);
+/** Options of {@link createBalancing}. */
+export interface BalancingOptions {
+  /** @returns the time on the monotonic clock, in milliseconds */
+  readonly now: () => number;
+  readonly logger?: Logger;
+  /** All servers, for the metrics. */
+  readonly servers?: Pick<ServerStates, 'all'>;
+  readonly metrics?: Metrics;
 }
 
-/** Creates the balancing of one host. @param now returns the time on the monotonic clock */
-export function createBalancing(now: () => number): Balancing {
+/** Creates the balancing of one host. */
+export function createBalancing(options: BalancingOptions): Balancing {
+  const { now, logger, servers, metrics } = options;
   const choice = createServerChoice();
-  const kinds = new Map<string, KindEstimate>();
+  const observations = createObservations(now, logger);
+  const uncachedCounter = createUncachedCounter();
+  // Its length only grows: emptying it would drop the memory that the next choice needs.
   const eligible: ServerState[] = [];
-  const keys: string[] = [];
-
-  const kindOf = (service: string, model = ''): KindEstimate => {
-    const key = `${service}/${model}`;
-    let kind = kinds.get(key);
-    if (!kind) {
-      if (kinds.size >= MAX_KINDS) kinds.clear();
-      kind = createKindEstimate();
-      kinds.set(key, kind);
-    }
-    return kind;
-  };
-
-  /** The last part of a prompt is unique to its request. */
-  const listKeys = (requirements: ModelRequirements | undefined): void => {
-    keys.length = 0;
-    if (!requirements) return;
-    const { promptParts } = requirements;
-    for (let index = 0; index < promptParts.length - 1; index += 1)
-      keys.push(promptPartKey(requirements, promptParts[index]!.id));
-  };
-
-  /** Tokens of the parts after the first one that the server has not cached, by {@link listKeys}. */
-  const countUncached = (
-    { promptPartTimes }: ServerState,
-    requirements: ModelRequirements,
-    at: number,
-  ): number => {
-    const { promptParts } = requirements;
-    let uncached = 0;
-    let cached = promptPartTimes.size > 0;
-    for (let index = 0; index < promptParts.length; index += 1) {
-      cached &&= index < keys.length && isCached(promptPartTimes.get(keys[index]!), at);
-      if (!cached) uncached += promptParts[index]!.tokens;
-    }
-    return uncached;
-  };
+  let eligibleCount = 0;
 
   const isEligible = (selection: ServerSelection, state: ServerState): boolean => {
     const { entry, closedUntil, isBrittle } = state;
     const { requirements } = selection;
     if (closedUntil > selection.now || selection.excluded.has(entry.id)) return false;
-    if (isBrittle && state.outstanding + state.outstandingFromOtherHosts >= entry.slots)
-      return false;
+    if (entry.evacuated === true) return false;
+    if (isBrittle && countServerRequests(state, selection.now) >= entry.slots) return false;
     if (selection.millisecondsUntilFree(entry.id) > selection.maxLimitMilliseconds) return false;
     return requirements ? selection.canServeModel(state, requirements.model) : !entry.leaving;
   };
@@ -111,15 +68,18 @@
   /** Lists the servers that can run the request; avoided ones only if there is no other. */
   const listEligible = (selection: ServerSelection): void => {
     const { candidates } = selection;
-    eligible.length = 0;
+    eligibleCount = 0;
     let hasPreferred = false;
     for (let index = 0; index < candidates.length; index += 1) {
       const state = candidates[index]!;
       if (isEligible(selection, state)) {
         const isPreferred = state.avoidUntil <= selection.now;
-        if (isPreferred && !hasPreferred) eligible.length = 0;
+        if (isPreferred && !hasPreferred) eligibleCount = 0;
         hasPreferred ||= isPreferred;
-        if (isPreferred || !hasPreferred) eligible.push(state);
+        if (isPreferred || !hasPreferred) {
+          eligible[eligibleCount] = state;
+          eligibleCount += 1;
+        }
       }
     }
   };
@@ -135,81 +95,85 @@
     return extra;
   };
 
+  /** Work that a request needs at one server and not at another, at usual speed. */
+  const countWorkMilliseconds = (
+    selection: ServerSelection,
+    state: ServerState,
+    tokenMilliseconds: number,
+  ): number => {
+    const { requirements } = selection;
+    if (!requirements) return 0;
+    const { model, adapter } = requirements;
+    const work = uncachedCounter.count(state, selection.now) * tokenMilliseconds;
+    return adapter === undefined || selection.hasAdapter(state, model, adapter)
+      ? work
+      : work + MISSING_ADAPTER_COST_MILLISECONDS;
+  };
+
+  /** Whether messages of other hosts have told of any request at these servers. */
+  const knowsOthers = (): boolean => {
+    for (let index = 0; index < eligibleCount; index += 1) {
+      if (eligible[index]!.outstandingFromOtherHosts > 0) return true;
+    }
+    return false;
+  };
+
   const select = (selection: ServerSelection): ServerState | undefined => {
-    const { requirements, random } = selection;
+    const { requirements, random, call, cacheTokens = Infinity } = selection;
+    const at = selection.now;
     listEligible(selection);
-    if (eligible.length <= 1) return eligible[0];
-    listKeys(requirements);
-    const kind = kindOf(eligible[0]!.entry.service, requirements?.model);
+    if (eligibleCount <= 1) return eligibleCount === 0 ? undefined : eligible[0];
+    uncachedCounter.begin(requirements);
+    const kind = observations.kindOf(eligible[0]!.entry.service, requirements?.model);
     const tokenMilliseconds = kind.tokenMilliseconds();
-    let knowsOthers = false;
-    for (let index = 0; index < eligible.length && !knowsOthers; index += 1)
-      knowsOthers = eligible[index]!.outstandingFromOtherHosts > 0;
+    const holdingMilliseconds = kind.holdingMilliseconds();
+    const tokensPerRequest = kind.tokens();
+    const tokens = call ? countTokens(call) : 0;
+    const hasOthers = knowsOthers();
     choice.begin();
-    for (let index = 0; index < eligible.length; index += 1) {
+    for (let index = 0; index < eligibleCount; index += 1) {
       const state = eligible[index]!;
-      const { entry, knowledge, outstanding } = state;
+      const { entry, knowledge, outstanding: own } = state;
       const others = state.outstandingFromOtherHosts;
-      const requests = estimateRequests(
-        knowledge,
-        outstanding,
-        others,
-        knowsOthers,
-        selection.now,
+      const requests = estimateRequests(knowledge, own, others, hasOthers, at);
+      let extra = countExtraMilliseconds(selection, state);
+      const held = estimateTokens(requests, own, knowledge.ownTokens, tokensPerRequest);
+      if (held + tokens > cacheTokens)
+        extra += computePreemptionMilliseconds(
+          tokensPerRequest,
+          tokenMilliseconds,
+          holdingMilliseconds,
+        );
+      choice.add(
+        requests,
+        countUsableSlots(entry.slots, cacheTokens, tokensPerRequest),
+        estimateSlowness(knowledge, at),
+        countWorkMilliseconds(selection, state, tokenMilliseconds),
+        extra,
       );
-      let work = 0;
-      if (requirements) {
-        const { model, adapter } = requirements;
-        work = countUncached(state, requirements, selection.now) * tokenMilliseconds;
-        if (adapter !== undefined && !selection.hasAdapter(state, model, adapter))
-          work += MISSING_ADAPTER_COST_MILLISECONDS;
-      }
-      const extra = countExtraMilliseconds(selection, state);
-      choice.add(requests, entry.slots, estimateSlowness(knowledge, selection.now), work, extra);
     }
-    const chosen = choice.choose({
-      ageMilliseconds: OTHERS_AGE_MILLISECONDS,
-      holdingMilliseconds: kind.holdingMilliseconds(),
-      random,
-    });
-    return eligible[chosen];
+    const ageMilliseconds = OTHERS_AGE_MILLISECONDS;
+    return eligible[choice.choose({ ageMilliseconds, holdingMilliseconds, random })];
   };
 
-  const recordSend = (sentTo: ServerState, call: Call): BalancedSend => {
-    const state = sentTo;
-    const { entry, knowledge } = state;
-    const { requirements } = call;
-    const sentAt = now();
-    const kind = kindOf(entry.service, requirements?.model);
-    listKeys(requirements);
-    const uncached = requirements ? countUncached(state, requirements, sentAt) : 0;
-    const others = state.outstandingFromOtherHosts;
-    const requests = estimateRequests(knowledge, state.outstanding, others, true, sentAt);
-    // At a full server the wait would be taken for slowness.
-    const isMeasured = requests < entry.slots;
-    const expected = kind.firstEventMilliseconds(uncached);
-    const tokens = countTokens(call);
-    knowledge.ownTokens += tokens;
-    let hasBegun = false;
-    return {
-      recordHead: (load, wasRejected) => {
-        if (load) recordReport(knowledge, load, state.outstanding, now());
-        else if (wasRejected) recordRejection(knowledge, entry.slots, state.outstanding, now());
-      },
-      recordFirstEvent: () => {
-        if (hasBegun) return;
-        hasBegun = true;
-        if (!isMeasured) return;
-        const milliseconds = now() - sentAt;
-        recordSlowness(knowledge, milliseconds, expected, now());
-        kind.recordFirstEvent(uncached, milliseconds);
-      },
-      recordEnd: (succeeded) => {
-        knowledge.ownTokens -= tokens;
-        if (succeeded) kind.recordEnd(now() - sentAt, tokens);
-      },
-    };
+  const busiestRatio = (): number => {
+    const shares = [...(servers?.all() ?? [])].map((state) => ({
+      service: state.entry.service,
+      requests: state.outstanding + state.outstandingFromOtherHosts,
+      slots: state.entry.slots,
+    }));
+    return Math.max(1, ...computeLoadRatios(shares).values());
   };
+  const countSlowServers = (): number =>
+    [...(servers?.all() ?? [])].filter(
+      ({ knowledge }) => estimateSlowness(knowledge, now()) > SLOW_SERVER,
+    ).length;
+  metrics?.gauge(
+    'busiest_server_ratio',
+    'Highest utilization of a server over the mean of its service, of the service where it is highest.',
+    busiestRatio,
+  );
+  metrics?.gauge('slow_servers', 'Servers that work slower than the others.', countSlowServers);
 
-  return { select, recordSend, countTokens };
+  return { select, recordSend: observations.recordSend, busiestRatio };
 }
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -1,6 +1,6 @@
 import { chooseServer } from '@bulrushspar/routing';
 import type { Balancing } from './balance.js';
-import type { ModelRequirements } from './call.js';
+import type { Call, ModelRequirements } from './call.js';
 import type { ServerState } from './servers.js';
 
 /** Input of the selection of a server for a request. */
@@ -24,6 +24,10 @@
   readonly random: () => number;
   /** Present if hosts share the capacity of the servers: it selects instead of the lowest delay. */
   readonly balancing?: Balancing | undefined;
+  /** The request, for its tokens; used by {@link balancing} only. */
+  readonly call?: Call;
+  /** Tokens that each server holds, if known; used by {@link balancing} only. */
+  readonly cacheTokens?: number | undefined;
 }
 
 /** Expected delay at a server whose slots are all in use. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,7 +22,9 @@
   type AttemptRunnerOptions,
   type ActiveRequest,
 } from './attempts.js';
-export { createBalancing, type BalancedSend, type Balancing } from './balance.js';
+export { createBalancing, type Balancing, type BalancingOptions } from './balance.js';
+export { type BalancedSend } from './observe.js';
+export { countPromptTokens } from './prompts.js';
 export {
   isRetryable,
   type AnswerHead,
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -3,8 +3,10 @@
 import type { Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import type { ActiveRequest } from './attempts.js';
+import type { Balancing } from './balance.js';
 import type { Call, ModelRequirements } from './call.js';
 import { selectServer } from './choose.js';
+import { countPromptTokens } from './prompts.js';
 import type { ServerLimits } from './limits.js';
 import type { ServingMetrics } from './metrics.js';
 import {
@@ -12,6 +14,7 @@
   createNoServerRefusal,
   createServersClosedRefusal,
   createServersLimitedRefusal,
+  createTooManyTokensRefusal,
   createVersionGoneRefusal,
   createWaitRefusal,
 } from './refusals.js';
@@ -30,6 +33,10 @@
   readonly limits: ServerLimits;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
+  /** Present if hosts share the capacity of the servers. */
+  readonly balancing?: Balancing | undefined;
+  /** @returns the tokens that a server of a service holds; undefined if it is not known */
+  readonly cacheTokensOf?: (service: string) => number | undefined;
 }
 
 /** Resolves to a server that can receive the request now; rejects with the refusal that ends it. */
@@ -47,7 +54,7 @@
   options: ServerPreparationOptions,
 ): PrepareServer<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
-  const { waits, limits, ensureAdapter } = options;
+  const { waits, limits, ensureAdapter, balancing, cacheTokensOf = () => undefined } = options;
 
   /**
    * Returns the longest time that a request waits for the limit of a server: it must leave time to be
@@ -82,8 +89,21 @@
       canServeModel: servers.canServeModel,
       hasAdapter: servers.hasAdapter,
       random,
+      balancing,
+      call: request.call,
+      cacheTokens: cacheTokensOf(request.admitted.service),
     });
 
+  /** Throws the refusal of a request whose prompt exceeds the memory of every server. */
+  const checkSize = ({ call, admitted: { service } }: ActiveRequest<SomeCall>): void => {
+    const cacheTokens = balancing && cacheTokensOf(service);
+    if (cacheTokens === undefined) return;
+    const tokens = countPromptTokens(call);
+    if (tokens < cacheTokens) return;
+    logger.info('prompt exceeds the memory of every server', { service, tokens, cacheTokens });
+    throw createTooManyTokensRefusal(service, tokens, cacheTokens);
+  };
+
   /**
    * Returns the time until the first of the servers that could run the request has time for another one
    * by its limit; undefined if none of them is limited.
@@ -196,6 +216,7 @@
 
   const selectPreparedServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const { requirements } = request.call;
+    checkSize(request);
     if (requirements) await awaitModel(request, requirements);
     const state = await selectNextServer(request);
     if (requirements && !(await prepareAdapter(state, requirements))) {
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -123,3 +123,17 @@
     `no server of service "${service}" accepts the request`,
     NO_SERVER_RETRY_SECONDS,
   );
+
+/**
+ * Creates the refusal of a request whose prompt alone fills the memory of any server of its service. No
+ * later time would be better.
+ */
+export const createTooManyTokensRefusal = (
+  service: string,
+  tokens: number,
+  cacheTokens: number,
+): Refusal =>
+  createNoCapacityRefusal(
+    503,
+    `a prompt of ${tokens} tokens leaves no room for an answer: each server of service "${service}" holds ${cacheTokens}`,
+  );
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -172,8 +172,12 @@
         clock.monotonic() - loadedAt < ADAPTER_REPORT_TIMEOUT_MILLISECONDS
       )
         return true;
-      const resident = state.entry.models.find(({ name }) => name === model);
-      return resident?.adapters.includes(adapter) ?? false;
+      const { models } = state.entry;
+      for (let index = 0; index < models.length; index += 1) {
+        const resident = models[index]!;
+        if (resident.name === model) return resident.adapters.includes(adapter);
+      }
+      return false;
     },
   };
 }
