Balancing: pass on slowness with the states of hosts, tests of the selection in serving

Cause: a host meets each server once in many seconds and would learn of a slow one too late. Change: states and summaries carry the slowness that servers reported in the last second, only while it is notable. A server without a figure counts as at most half full.

--- a/packages/balancing/src/choice.ts
+++ b/packages/balancing/src/choice.ts
@@ -55,6 +55,12 @@
 /** Difference of the own work from which a server counts as one that holds something of the request. */
 const AFFINITY_MILLISECONDS = 10;
 
+/**
+ * Utilization that a server without a figure is assumed to have at most, so that the only server of which
+ * a host knows is not as good as the others when it is full.
+ */
+const MAX_ASSUMED_UTILIZATION = 0.5;
+
 /** Places of the sums over all servers of one choice. */
 const SUM = {
   REQUESTS: 0,
@@ -167,12 +173,15 @@
   // Numbers in an array: a variable that functions share would be a new object at each change.
   const sums = new Float64Array(6);
 
-  /** Gives the servers without a figure the mean utilization of the others. */
+  /** Gives the servers without a figure the mean utilization of the others, within a bound. */
   const fillUnknown = (): void => {
-    if (sums[SUM.UNKNOWN_CAPACITY]! === 0) return;
+    if (sums[SUM.UNKNOWN_CAPACITY] === 0) return;
     const { requests, capacity } = figures;
     const knownCapacity = sums[SUM.CAPACITY]! - sums[SUM.UNKNOWN_CAPACITY]!;
-    const utilization = knownCapacity > 0 ? sums[SUM.REQUESTS]! / knownCapacity : 0;
+    const utilization =
+      knownCapacity > 0
+        ? Math.min(MAX_ASSUMED_UTILIZATION, sums[SUM.REQUESTS]! / knownCapacity)
+        : 0;
     for (let place = 0; place < size; place += 1) {
       if (requests[place]! < 0) requests[place] = utilization * capacity[place]!;
     }
@@ -233,7 +242,7 @@
         arrivals + 1,
         expected / sums[SUM.SPARE_CAPACITY]!,
       );
-      const isUneven = sums[SUM.SPARE_CAPACITY] !== sums[SUM.CAPACITY];
+      const isUneven = Math.abs(sums[SUM.SPARE_CAPACITY]! - sums[SUM.CAPACITY]!) > 0;
       if (level > 1 && isUneven) {
         ({ capacity } = figures);
         level = findLevel(requests, capacity, size, arrivals + 1, expected / sums[SUM.CAPACITY]!);
--- a/packages/balancing/src/index.ts
+++ b/packages/balancing/src/index.ts
@@ -15,6 +15,7 @@
 export {
   createKindEstimate,
   estimateSlowness,
+  recordPassedSlowness,
   recordSlowness,
   type KindEstimate,
 } from './speed.js';
--- a/packages/balancing/src/speed.ts
+++ b/packages/balancing/src/speed.ts
@@ -23,6 +23,8 @@
 const OBSERVATION_WEIGHT = 0.4;
 /** Time after which a third of an observation is left; servers are slow for some seconds at a time. */
 const MEMORY_MILLISECONDS = 20_000;
+/** Any time above the least that is told apart; only the ratio of two times counts. */
+const REFERENCE_MILLISECONDS = 1000;
 /** Age at which the slowdown that a server reported is worth nothing; it changes many times a second. */
 const SLOWDOWN_LIFETIME_MILLISECONDS = 1000;
 /** Weight of the sums of the regression after each observation: it remembers about 200. */
@@ -62,6 +64,24 @@
   changed.observedAt = now;
 }
 
+/**
+ * Records the slowness of a server that another host was told or has observed. It is learnt like an
+ * observation of this host, which meets a server once in many seconds and would learn it too late.
+ * @param at time of the observation on the monotonic clock of this host
+ */
+export function recordPassedSlowness(
+  knowledge: ServerKnowledge,
+  slowness: number,
+  at: number,
+): void {
+  const changed = knowledge;
+  if (at <= changed.slowdownAt) return;
+  changed.slowdown = slowness;
+  changed.slowdownAt = at;
+  if (at > changed.observedAt)
+    recordSlowness(changed, slowness * REFERENCE_MILLISECONDS, REFERENCE_MILLISECONDS, at);
+}
+
 function learntLogSlowness({ logSlowness, observedAt }: ServerKnowledge, now: number): number {
   if (logSlowness === 0) return 0;
   return logSlowness * Math.exp((observedAt - now) / MEMORY_MILLISECONDS);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -465,6 +465,7 @@
     quotas,
     demand,
     ownRunning: () => countRunningRequests(servers.all()),
+    slowness: balancing?.exchange,
     followers: () => followers,
     leadership: () => leadership,
     onExpired: (name) => leadership.commander.removeHost(name),
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -1,6 +1,7 @@
 import { startMonotonicStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import type { DemandTracker } from '@bulrushspar/loading';
 import { sendToAll, type Link } from '@bulrushspar/peer';
+import type { SlownessExchange } from '@bulrushspar/serving';
 import type { Incarnation } from '@bulrushspar/store';
 import {
   MESSAGE,
@@ -62,6 +63,8 @@
   readonly demand: DemandTracker;
   /** Running requests of this host, by server and model. */
   readonly ownRunning: () => RunningRequests;
+  /** Slowness of servers that hosts tell each other; absent if they do not share capacity. */
+  readonly slowness?: SlownessExchange | undefined;
   readonly followers: () => readonly KindFollower[];
   readonly leadership: () => OrderLeadership;
   /** Called when no hub has passed on a state of a host without a link for some time. */
@@ -117,7 +120,7 @@
 /** Creates the state exchange of one host. */
 export function createGossip(options: GossipOptions): Gossip {
   const { clock, self, topology, quotas, demand, ownRunning, followers, leadership } = options;
-  const { onExpired = () => {} } = options;
+  const { onExpired = () => {}, slowness } = options;
   const states = new Map<string, ReceivedState>();
   /** States of the members since the last message to the other hubs, by host. */
   const pendingStates = new Map<string, PendingState>();
@@ -195,6 +198,7 @@
       sequence,
       taken: quotas.taken(),
       running: ownRunning(),
+      slow: slowness?.list(false),
       asked: requested,
       orders: leadership().describeLease(),
       seen: versionByKind(),
@@ -261,6 +265,7 @@
       isDirect: isDirect || (known?.isDirect ?? false),
     });
     totals.set(host, state.running);
+    slowness?.receive(state.slow, age);
     leadership().receiveLease(host, state.orders, age);
     return true;
   };
@@ -303,6 +308,7 @@
     hosts: countReportingHosts(),
     taken: quotas.totalsExcept(receiver),
     running: runningExcept(receiver),
+    slow: slowness?.list(true),
     orders: leadership().newestLease(),
     seen: versionByKind(),
     views: describeViews(),
@@ -355,6 +361,7 @@
       const { peer } = link;
       if (topology.isHub()) return;
       summaries.set(peer.host, { hub: peer, body: summary, since: startMonotonicStopwatch(clock) });
+      slowness?.receive(summary.slow, 0);
       choosePrimaryHub();
       quotas.receiveHubTotals(peer, summary.taken, peer.host === primaryHub);
       if (summary.orders)
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,7 +1,7 @@
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { PromptPartUpdate } from '@bulrushspar/routing';
-import type { BegunStream, LimitUpdate } from '@bulrushspar/serving';
+import type { BegunStream, LimitUpdate, SlownessMessage } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
 import type { RunningRequests } from './totals.js';
 
@@ -76,6 +76,8 @@
   readonly seen: Readonly<Record<string, number>>;
   /** Digests and ranks of the followed kinds. */
   readonly views?: ViewDetails;
+  /** Slowness of servers that the host has observed; absent if there is nothing to tell. */
+  readonly slow?: SlownessMessage | undefined;
   /** Kinds that the host watches in the store, with a recent answer. */
   readonly watches: readonly string[];
   /** How often the host needs summaries from the receiver; absent if it needs none. */
@@ -125,6 +127,8 @@
   readonly taken: Readonly<Record<string, number>>;
   /** Running requests, by server. */
   readonly running: Readonly<Record<string, number>>;
+  /** Slowness of servers that any host has observed; absent if there is nothing to tell. */
+  readonly slow?: SlownessMessage | undefined;
   /** The lease for orders with the highest known fencing number. */
   readonly orders?: ReportedLease;
   /** Version at which each followed kind last changed. */
--- a/packages/serving/src/balance.ts
+++ b/packages/serving/src/balance.ts
@@ -24,6 +24,7 @@
 import { createObservations, SLOW_SERVER, type BalancedSend } from './observe.js';
 import { countTokens, createUncachedCounter } from './prompts.js';
 import type { ServerState, ServerStates } from './servers.js';
+import { createSlownessExchange, type SlownessExchange } from './slowness.js';
 
 /** What this host learns about servers from its own requests, and the selection that uses it. */
 export interface Balancing {
@@ -33,6 +34,8 @@
   recordSend(state: ServerState, call: Call): BalancedSend;
   /** @returns the highest utilization of a server over the mean of its service; 1 if few requests run */
   busiestRatio(): number;
+  /** Slowness that hosts tell each other; present with the servers. */
+  readonly exchange: SlownessExchange | undefined;
 }
 
 /** Options of {@link createBalancing}. */
@@ -40,16 +43,17 @@
   /** @returns the time on the monotonic clock, in milliseconds */
   readonly now: () => number;
   readonly logger?: Logger;
-  /** All servers, for the metrics. */
-  readonly servers?: Pick<ServerStates, 'all'>;
+  /** All servers, for the metrics and for what other hosts tell of them. */
+  readonly servers?: ServerStates;
   readonly metrics?: Metrics;
 }
 
 /** Creates the balancing of one host. */
 export function createBalancing(options: BalancingOptions): Balancing {
   const { now, logger, servers, metrics } = options;
+  const exchange = servers && createSlownessExchange(now, servers);
   const choice = createServerChoice();
-  const observations = createObservations(now, logger);
+  const observations = createObservations(now, logger, exchange);
   const uncachedCounter = createUncachedCounter();
   // Its length only grows: emptying it would drop the memory that the next choice needs.
   const eligible: ServerState[] = [];
@@ -175,5 +179,5 @@
   );
   metrics?.gauge('slow_servers', 'Servers that work slower than the others.', countSlowServers);
 
-  return { select, recordSend: observations.recordSend, busiestRatio };
+  return { select, recordSend: observations.recordSend, busiestRatio, exchange };
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -61,6 +61,7 @@
 } from './overload.js';
 export { createStoppingRefusal } from './refusals.js';
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
+export { createSlownessExchange, type SlownessExchange, type SlownessMessage } from './slowness.js';
 export {
   createStreamVersions,
   type BegunStream,
--- a/packages/serving/src/observe.ts
+++ b/packages/serving/src/observe.ts
@@ -12,6 +12,7 @@
 import type { Call, ServerLoad } from './call.js';
 import { countTokens, createUncachedCounter } from './prompts.js';
 import type { ServerState } from './servers.js';
+import type { SlownessExchange } from './slowness.js';
 
 /** One request as sent to a server, until it ends. */
 export interface BalancedSend {
@@ -41,7 +42,11 @@
  * Creates the observations of one host.
  * @param now returns the time on the monotonic clock, in milliseconds
  */
-export function createObservations(now: () => number, logger?: Logger): Observations {
+export function createObservations(
+  now: () => number,
+  logger?: Logger,
+  exchange?: SlownessExchange,
+): Observations {
   const kinds = new Map<string, KindEstimate>();
   const uncachedCounter = createUncachedCounter();
   const slowServers = new Set<string>();
@@ -91,6 +96,7 @@
     return {
       recordHead: (load, wasRejected) => {
         hasAnswered = true;
+        if (load?.slowdown !== undefined) exchange?.recordOwn(entry.id, load.slowdown);
         if (load) recordReport(knowledge, load, state.outstanding, now());
         else if (wasRejected) recordRejection(knowledge, entry.slots, state.outstanding, now());
       },
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -6,6 +6,7 @@
 import type { PromptPartTracker, ServerProcess } from '@bulrushspar/routing';
 import {
   createAdmission,
+  createBalancing,
   createModelWaits,
   createRequestHandler,
   createServerLimits,
@@ -59,6 +60,9 @@
   readonly limits?: ServerLimits;
   /** Whether a server holds the model. */
   readonly isLoaded?: (server: TestServer) => boolean;
+  readonly sharesCapacity?: boolean;
+  /** Tokens that each server holds. */
+  readonly cacheTokens?: number;
 }
 
 /** The model that the servers hold. */
@@ -166,6 +170,8 @@
     onNotice: (server, { limitPerSecond }) => {
       if (limitPerSecond !== undefined) limits.recordNamed(server, limitPerSecond);
     },
+    ...(options.sharesCapacity ? { balancing: createBalancing({ now: clock.monotonic }) } : {}),
+    cacheTokensOf: () => options.cacheTokens,
     ensureAdapter: () => Promise.resolve(true),
     getStoppingRefusal: () => undefined,
     send,
