--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,6 +6,10 @@
   type ChatOptions,
   type ServiceCallOptions,
 } from './call.js';
+export { PATTERNS } from './balance.js';
+export { type LoadPattern, type PatternResult } from './pattern.js';
+export { playPattern } from './patterns.js';
+export { createEventQueue, createRandom, type EventQueue } from './simulation.js';
 export type { FleetWorld } from './world.js';
 export {
   hashKey,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import type { Metrics } from '@bulrushspar/metrics';
 import {
   createAdmission,
+  createBalancing,
   createModelWaits,
   createRequestHandler,
   createServerStates,
@@ -189,6 +190,9 @@
   let isRefusing = false;
 
   const servers = createServerStates(clock, (server) => gossip.runningOnOtherHosts(server));
+  const balancing = options.sharesCapacity
+    ? createBalancing({ now: clock.monotonic, logger, servers, metrics: options.metrics })
+    : undefined;
   const demand = createDemandTracker({ clock });
   const quotas = createQuotas({
     clock,
@@ -556,6 +560,7 @@
     quotas,
     demand,
     ownRunning: () => countRunningRequests(servers.all()),
+    slowness: balancing?.exchange,
     followers: () => followers,
     leadership: () => leadership,
     onExpired: (name) => leadership.commander.removeHost(name),
@@ -577,6 +582,8 @@
     send: options.send,
     streams,
     onNotice: applyNotice,
+    balancing,
+    cacheTokensOf: (service) => configuration?.services.get(service)?.engine?.cacheTokens,
     ensureAdapter,
     isEvacuated: ({ failureDomain }) => evacuations.covers(failureDomain),
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -90,7 +90,7 @@
   options: AttemptRunnerOptions<SomeCall>,
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, servers, limits, budget, crashGuard, send, streams } = options;
-  const { getStoppingRefusal, onNotice = () => {} } = options;
+  const { getStoppingRefusal, onNotice = () => {}, balancing } = options;
   const prepareServer = createServerPreparation<SomeCall>(options);
 
   const changeOutstanding = (
@@ -150,6 +150,8 @@
     const sink = relay.openSink();
     const sinceSent = startMonotonicStopwatch(clock);
     Object.assign(request, { begunAnswer: undefined });
+    const balanced = balancing?.recordSend(state, call);
+    let hasSucceeded = false;
     changeOutstanding(state, call.requirements?.model, 1);
     if (call.requirements) recordPromptParts(state, call.requirements);
     try {
@@ -172,6 +174,8 @@
               Object.assign(request, { begunAnswer: { framed: head.framed, sinceBegun } });
             }
             recordLoad(state, head);
+            balanced?.recordHead(head.load, head.notRun && !head.misdirected);
+            hasSucceeded = isSuccess(head.status);
             if (!head.misdirected) Object.assign(state, { isBrittle: head.isBrittle === true });
             if (!head.notRun && !head.misdirected)
               limits.recordAnswer(state.entry, head.notice?.coldMilliseconds, sinceSent);
@@ -181,6 +185,7 @@
             sink.onHead(head, flow);
           },
           onData: (chunk) => {
+            if (hasSucceeded) balanced?.recordFirstEvent();
             sink.onData(chunk);
             recordBegun(request, state);
           },
@@ -188,9 +193,11 @@
         AbortSignal.any([signal, silenceController.signal]),
       );
       relay.finish();
+      if (hasSucceeded) balanced?.recordEnd(true);
     } finally {
       cancelSilenceTimeout();
       changeOutstanding(state, call.requirements?.model, -1);
+      balanced?.recordEnd(false);
     }
   };
 
--- a/packages/serving/src/choose.ts
+++ b/packages/serving/src/choose.ts
@@ -1,6 +1,7 @@
 import { acceptsRequests } from '@bulrushspar/catalogue';
 import { chooseServer } from '@bulrushspar/routing';
-import type { ModelRequirements } from './call.js';
+import type { Balancing } from './balance.js';
+import type { Call, ModelRequirements } from './call.js';
 import type { ServerState } from './servers.js';
 
 /** Input of the selection of a server for a request. */
@@ -24,6 +25,12 @@
   readonly hasAdapter: (state: ServerState, model: string, adapter: string) => boolean;
   /** @returns a number from 0 up to but not including 1 */
   readonly random: () => number;
+  /** Present if hosts share the capacity of the servers: it selects instead of the lowest delay. */
+  readonly balancing?: Balancing | undefined;
+  /** The request, for its tokens; used by {@link balancing} only. */
+  readonly call?: Call;
+  /** Tokens that each server holds, if known; used by {@link balancing} only. */
+  readonly cacheTokens?: number | undefined;
 }
 
 /** Expected delay at a server whose slots are all in use. */
@@ -35,11 +42,11 @@
 /** Fraction of the selections that send a cold server requests although it is slower, to warm it up. */
 const WARMING_FRACTION = 0.1;
 /** Round-trip time to another failure domain. */
-const CROSS_DOMAIN_COST_MILLISECONDS = 3;
+export const CROSS_DOMAIN_COST_MILLISECONDS = 3;
 /** Expected delay of a missing adapter, whose load is ordered through the leader. */
-const MISSING_ADAPTER_COST_MILLISECONDS = 25;
+export const MISSING_ADAPTER_COST_MILLISECONDS = 25;
 /** Expected delay at a server that fails every request. */
-const FAILURE_COST_MILLISECONDS = 2000;
+export const FAILURE_COST_MILLISECONDS = 2000;
 /** Prompt tokens that a server processes in a millisecond; converts uncached tokens to a delay. */
 const PROMPT_TOKENS_PER_MILLISECOND = 30;
 /** Time for which a prompt part is expected to stay in a server's cache. */
@@ -57,6 +64,11 @@
   return Math.max(counted, reportedLoad.running + reportedLoad.waiting);
 }
 
+/** @returns whether a prompt part that was sent to a server at a time is expected in its cache */
+export function isCached(sentAt: number | undefined, now: number): boolean {
+  return sentAt !== undefined && now - sentAt < PROMPT_PART_LIFETIME_MILLISECONDS;
+}
+
 function countUncachedPromptTokens(
   state: ServerState,
   requirements: ModelRequirements,
@@ -66,7 +78,7 @@
   let cached = true;
   requirements.promptParts.slice(0, -1).forEach(({ id, tokens }) => {
     const at = state.promptPartTimes.get(promptPartKey(requirements, id));
-    cached &&= at !== undefined && now - at < PROMPT_PART_LIFETIME_MILLISECONDS;
+    cached &&= isCached(at, now);
     if (!cached) uncached += tokens;
   });
   return uncached;
@@ -80,6 +92,14 @@
 const estimateColdCost = (random: () => number): number =>
   random() < WARMING_FRACTION ? 0 : COLD_SERVER_COST_MILLISECONDS;
 
+/** Estimates the delay of a request by the limit of a server; 0 if it has none. */
+export function estimateLimitMilliseconds(id: string, selection: ServerSelection): number {
+  if (selection.limitOf(id) === undefined) return 0;
+  const isCold = selection.isCold?.(id) ?? false;
+  const cost = isCold ? estimateColdCost(selection.random) : LIMITED_SERVER_COST_MILLISECONDS;
+  return cost + selection.millisecondsUntilFree(id);
+}
+
 /** Estimates the delay of a request at a server. */
 export function estimateDelayMilliseconds(state: ServerState, selection: ServerSelection): number {
   const { requirements, now, failureDomain, hasAdapter } = selection;
@@ -87,11 +107,7 @@
   const utilization = countServerRequests(state, now) / Math.max(1, entry.slots);
   let cost =
     FULL_SERVER_COST_MILLISECONDS * utilization + FAILURE_COST_MILLISECONDS * state.failureRate;
-  if (selection.limitOf(entry.id) !== undefined) {
-    const isCold = selection.isCold?.(entry.id) ?? false;
-    cost += isCold ? estimateColdCost(selection.random) : LIMITED_SERVER_COST_MILLISECONDS;
-    cost += selection.millisecondsUntilFree(entry.id);
-  }
+  cost += estimateLimitMilliseconds(entry.id, selection);
   if (entry.failureDomain !== failureDomain) cost += CROSS_DOMAIN_COST_MILLISECONDS;
   if (!requirements) return cost;
   cost += countUncachedPromptTokens(state, requirements, now) / PROMPT_TOKENS_PER_MILLISECOND;
@@ -108,6 +124,7 @@
 
 /** Selects the server with the lowest expected delay; avoided servers only if there is no other. */
 export function selectServer(selection: ServerSelection): ServerState | undefined {
+  if (selection.balancing) return selection.balancing.select(selection);
   const { candidates, requirements, excluded, now, random, maxLimitMilliseconds } = selection;
   return chooseServer({
     candidates,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,6 +22,9 @@
   type AttemptRunnerOptions,
   type ActiveRequest,
 } from './attempts.js';
+export { createBalancing, type Balancing, type BalancingOptions } from './balance.js';
+export { type BalancedSend } from './observe.js';
+export { countPromptTokens } from './prompts.js';
 export {
   isRetryable,
   type AnswerHead,
@@ -64,6 +67,7 @@
 } from './overload.js';
 export { createStoppingRefusal } from './refusals.js';
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
+export { createSlownessExchange, type SlownessExchange, type SlownessMessage } from './slowness.js';
 export {
   createStreamVersions,
   UNKNOWN_VERSION_CAUSE,
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -4,8 +4,10 @@
 import type { Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import type { ActiveRequest } from './attempts.js';
+import type { Balancing } from './balance.js';
 import type { Call, ModelRequirements } from './call.js';
 import { selectServer } from './choose.js';
+import { countPromptTokens } from './prompts.js';
 import type { ServerLimits } from './limits.js';
 import type { ServingMetrics } from './metrics.js';
 import {
@@ -14,6 +16,7 @@
   createServersClosedRefusal,
   createServersEvacuatedRefusal,
   createServersLimitedRefusal,
+  createTooManyTokensRefusal,
   createVersionGoneRefusal,
   createWaitRefusal,
 } from './refusals.js';
@@ -37,6 +40,10 @@
   readonly isEvacuated?: (server: ServerEntry) => boolean;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
+  /** Present if hosts share the capacity of the servers. */
+  readonly balancing?: Balancing | undefined;
+  /** @returns the tokens that a server of a service holds; undefined if it is not known */
+  readonly cacheTokensOf?: (service: string) => number | undefined;
 }
 
 /** Resolves to a server that can receive the request now; rejects with the refusal that ends it. */
@@ -55,6 +62,7 @@
 ): PrepareServer<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
   const { waits, limits, streams, ensureAdapter } = options;
+  const { balancing, cacheTokensOf = () => undefined } = options;
   const { isEvacuated = ({ evacuated }) => evacuated === true } = options;
 
   /**
@@ -121,9 +129,22 @@
       canServeModel: servers.canServeModel,
       hasAdapter: servers.hasAdapter,
       random,
+      balancing,
+      call: request.call,
+      cacheTokens: cacheTokensOf(request.admitted.service),
     });
   };
 
+  /** Throws the refusal of a request whose prompt exceeds the memory of every server. */
+  const checkSize = ({ call, admitted: { service } }: ActiveRequest<SomeCall>): void => {
+    const cacheTokens = balancing && cacheTokensOf(service);
+    if (cacheTokens === undefined) return;
+    const tokens = countPromptTokens(call);
+    if (tokens < cacheTokens) return;
+    logger.info('prompt exceeds the memory of every server', { service, tokens, cacheTokens });
+    throw createTooManyTokensRefusal(service, tokens, cacheTokens);
+  };
+
   /**
    * Returns the time until the first of the servers that could run the request has time for another one
    * by its limit; undefined if none of them is limited.
@@ -251,6 +272,7 @@
 
   const selectPreparedServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const { requirements } = request.call;
+    checkSize(request);
     if (requirements) await awaitModel(request, requirements);
     const state = await selectNextServer(request);
     if (requirements && !(await prepareAdapter(state, requirements))) {
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -6,6 +6,7 @@
 import type { PromptPartTracker, ServerProcess } from '@bulrushspar/routing';
 import {
   createAdmission,
+  createBalancing,
   createModelWaits,
   createRequestHandler,
   createServerLimits,
@@ -68,6 +69,9 @@
   readonly ensureAdapter?: () => Promise<boolean>;
   /** Whether a server holds the model. */
   readonly isLoaded?: (server: TestServer) => boolean;
+  readonly sharesCapacity?: boolean;
+  /** Tokens that each server holds. */
+  readonly cacheTokens?: number;
 }
 
 /** The model that the servers hold. */
@@ -186,6 +190,8 @@
     onNotice: (server, { limitPerSecond }) => {
       if (limitPerSecond !== undefined) limits.recordNamed(server, limitPerSecond);
     },
+    ...(options.sharesCapacity ? { balancing: createBalancing({ now: clock.monotonic }) } : {}),
+    cacheTokensOf: () => options.cacheTokens,
     ensureAdapter,
     isEvacuated: ({ failureDomain }) => evacuatedDomains().has(failureDomain),
     getStoppingRefusal: () => undefined,
