Admission: order of requests that wait for full servers

A new package decides for each request whether it is sent, waits on the host or is refused. Requests wait in one queue, ordered by priority, then by whether their objective can still be met, then by the share of their workspace. The weighted fair queue of routing is split: its order is the line of the new package, which both queues use.

--- a/packages/routing/src/queue.ts
+++ b/packages/routing/src/queue.ts
@@ -1,3 +1,4 @@
+import { createFairLine } from '@bulrushspar/admission';
 import type { Clock } from '@bulrushspar/clock';
 import { PRIORITY, type Priority } from '@bulrushspar/configuration';
 import { createRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
@@ -47,6 +48,8 @@
 }
 
 interface QueueEntry {
+  readonly workspace: string;
+  readonly weight: number;
   readonly request: QueueRequest;
   readonly admit: () => void;
 }
@@ -55,6 +58,13 @@
 const SERVICE_TIME_SMOOTHING_FACTOR = 0.1;
 const MILLISECONDS_PER_SECOND = 1000;
 
+const createEntry = (request: QueueRequest, admit: () => void): QueueEntry => ({
+  workspace: request.workspace,
+  weight: request.weight,
+  request,
+  admit,
+});
+
 function createDeadlineRefusal(retryAfterSeconds: number): Refusal {
   return createRefusal({
     status: 503,
@@ -71,63 +81,20 @@
  */
 export function createFairQueue(options: FairQueueOptions): FairQueue {
   const { clock, getCapacity } = options;
-  const waitingEntries = new Set<QueueEntry>();
-  const weightedTokensByWorkspace = new Map<string, number>();
-  const requestCountByWorkspace = new Map<string, number>();
+  const line = createFairLine<QueueEntry>(({ request }) =>
+    request.priority === PRIORITY.PERSON ? 0 : 1,
+  );
   let runningCount = 0;
   let averageServiceMilliseconds = 0;
 
-  const getWeightedTokens = (workspace: string): number =>
-    weightedTokensByWorkspace.get(workspace) ?? 0;
-
-  const chargeTokens = ({ workspace, weight }: QueueRequest, tokens: number): void => {
-    weightedTokensByWorkspace.set(workspace, getWeightedTokens(workspace) + tokens / weight);
-  };
-
-  /**
-   * Counts a request of a workspace. A workspace without other requests is raised to the lowest
-   * weighted tokens among the active ones, so that its idle time earns it no credit.
-   */
-  const addWorkspaceRequest = (workspace: string): void => {
-    const requestCount = requestCountByWorkspace.get(workspace) ?? 0;
-    if (requestCount === 0 && requestCountByWorkspace.size > 0) {
-      const leastWeightedTokens = Math.min(
-        ...[...requestCountByWorkspace.keys()].map(getWeightedTokens),
-      );
-      weightedTokensByWorkspace.set(
-        workspace,
-        Math.max(getWeightedTokens(workspace), leastWeightedTokens),
-      );
-    }
-    requestCountByWorkspace.set(workspace, requestCount + 1);
-  };
-
-  const removeWorkspaceRequest = (workspace: string): void => {
-    const requestCount = (requestCountByWorkspace.get(workspace) ?? 1) - 1;
-    if (requestCount > 0) requestCountByWorkspace.set(workspace, requestCount);
-    else requestCountByWorkspace.delete(workspace);
-  };
-
-  const hasPrecedence = (a: QueueEntry, b: QueueEntry): boolean => {
-    if (a.request.priority !== b.request.priority) return a.request.priority === PRIORITY.PERSON;
-    return getWeightedTokens(a.request.workspace) < getWeightedTokens(b.request.workspace);
-  };
-
-  const findNextEntry = (): QueueEntry | undefined => {
-    let best: QueueEntry | undefined;
-    waitingEntries.forEach((candidate) => {
-      if (!best || hasPrecedence(candidate, best)) best = candidate;
-    });
-    return best;
-  };
-
   const admitWaiting = (): void => {
-    while (waitingEntries.size > 0 && runningCount < getCapacity()) findNextEntry()!.admit();
+    while (line.size() > 0 && runningCount < getCapacity()) line.first()!.admit();
   };
 
-  const startRequest = (request: QueueRequest): QueueSlot => {
+  const startRequest = (entry: QueueEntry): QueueSlot => {
+    const { request } = entry;
     runningCount += 1;
-    chargeTokens(request, request.expectedTokens);
+    line.charge(entry, request.expectedTokens);
     const startedAtMilliseconds = clock.monotonic();
     let released = false;
     return {
@@ -135,8 +102,8 @@
         if (released) return;
         released = true;
         runningCount -= 1;
-        chargeTokens(request, actualTokens - request.expectedTokens);
-        removeWorkspaceRequest(request.workspace);
+        line.charge(entry, actualTokens - request.expectedTokens);
+        line.removeRequest(request.workspace);
         const elapsedMilliseconds = clock.monotonic() - startedAtMilliseconds;
         averageServiceMilliseconds +=
           (elapsedMilliseconds - averageServiceMilliseconds) * SERVICE_TIME_SMOOTHING_FACTOR;
@@ -146,7 +113,7 @@
   };
 
   const estimateWaitMilliseconds = (request: QueueRequest): number => {
-    const entriesAhead = [...waitingEntries].filter(
+    const entriesAhead = [...line.entries()].filter(
       (other) =>
         !(request.priority === PRIORITY.PERSON && other.request.priority === PRIORITY.BATCH),
     ).length;
@@ -156,24 +123,21 @@
   const waitForSlot = (request: QueueRequest): Promise<QueueSlot> =>
     new Promise((resolve, reject) => {
       const removeEntry = (): void => {
-        waitingEntries.delete(entry);
+        line.remove(entry);
         cancelTimer();
         request.signal.removeEventListener('abort', rejectEntry);
       };
       const rejectEntry = (): void => {
-        if (!waitingEntries.has(entry)) return;
+        if (!line.has(entry)) return;
         removeEntry();
-        removeWorkspaceRequest(request.workspace);
+        line.removeRequest(request.workspace);
         reject(createDeadlineRefusal(estimateWaitMilliseconds(request) / MILLISECONDS_PER_SECOND));
       };
-      const entry: QueueEntry = {
-        request,
-        admit: () => {
-          removeEntry();
-          resolve(startRequest(request));
-        },
-      };
-      waitingEntries.add(entry);
+      const entry = createEntry(request, () => {
+        removeEntry();
+        resolve(startRequest(entry));
+      });
+      line.add(entry);
       request.signal.addEventListener('abort', rejectEntry, { once: true });
       const cancelTimer = clock.after(request.remainingMilliseconds, rejectEntry);
     });
@@ -185,15 +149,15 @@
       if (isFull && expectedWaitMilliseconds > request.remainingMilliseconds) {
         throw createDeadlineRefusal(expectedWaitMilliseconds / MILLISECONDS_PER_SECOND);
       }
-      addWorkspaceRequest(request.workspace);
-      return isFull ? waitForSlot(request) : startRequest(request);
+      line.addRequest(request.workspace);
+      return isFull ? waitForSlot(request) : startRequest(createEntry(request, () => {}));
     },
     admitWaiting,
-    countWaiting: () => waitingEntries.size,
+    countWaiting: line.size,
     countRunning: () => runningCount,
     countWaitingByWorkspace: () => {
       const counts = new Map<string, number>();
-      waitingEntries.forEach(({ request: { workspace } }) => {
+      [...line.entries()].forEach(({ workspace }) => {
         counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
       });
       return counts;
