Serving: requests take a place before they are sent

With a queue of places (createRequestHandler option `places`, absent by default) a request that has not run yet waits on the host while the servers that could run it are full. Its place is given back when the attempt ends, with whatever outcome. A retry of a request that may have run does not wait, since it could not be refused as not run. The wait is logged and measured (place_wait).

--- a/packages/admission/src/queue.ts
+++ b/packages/admission/src/queue.ts
@@ -148,7 +148,7 @@
   let isChecking = false;
 
   const describeCandidate = (entry: Entry, view: ServerView, group: FleetView): Candidate => {
-    const own = held.useOf(view.id, view.report);
+    const own = held.useOf(view);
     const ahead = countAhead(entry, view.id, line.entries());
     const requests = estimateRequests(view, own, group);
     return {
@@ -268,7 +268,7 @@
     const serviceMilliseconds = held.serviceMilliseconds(request.service);
     const urgentShare = mix.shareUpTo(request);
     return views.map((view) => {
-      const use = held.useOf(view.id, view.report);
+      const use = held.useOf(view);
       const demand = describeDemand(first, view.id, rank);
       return {
         id: view.id,
--- a/packages/admission/src/room.ts
+++ b/packages/admission/src/room.ts
@@ -11,6 +11,8 @@
 export interface ServerView {
   readonly id: string;
   readonly slots: number;
+  /** Requests of this host that are in flight there, with or without a place. */
+  readonly outstanding: number;
   /** Requests of the other hosts there, by the last state messages. */
   readonly requestsFromOtherHosts: number;
   readonly report?: LoadReport | undefined;
@@ -101,7 +103,10 @@
  * as the others, so that each part of a partitioned fleet keeps to its share.
  */
 export function estimateRequests(server: ServerView, own: OwnUse, fleet: FleetView): number {
-  const counted = (own.requests + server.requestsFromOtherHosts) / fleet.linkedFraction;
+  // A host that hears of no other keeps to its share; what it last heard is too old.
+  const isAlone = fleet.linkedFraction * fleet.hosts <= 1 && fleet.hosts > 1;
+  const elsewhere = isAlone ? 0 : server.requestsFromOtherHosts;
+  const counted = (own.requests + elsewhere) / fleet.linkedFraction;
   const { report } = server;
   const isReported = report && report.ageMilliseconds <= MAX_REPORT_AGE_MILLISECONDS;
   const known = isReported ? Math.max(counted, report.requests + own.requestsSinceReport) : counted;
--- a/packages/admission/src/use.ts
+++ b/packages/admission/src/use.ts
@@ -1,5 +1,5 @@
 /** Places that a host holds at servers, and how long its requests take there. */
-import type { LoadReport, OwnUse } from './room.js';
+import type { OwnUse, ServerView } from './room.js';
 
 /** A request that was sent to a server, or is about to be. */
 export interface HeldPlace {
@@ -11,7 +11,7 @@
 export interface HeldPlaces {
   add(server: string, place: HeldPlace): void;
   remove(server: string, place: HeldPlace): void;
-  useOf(server: string, report: LoadReport | undefined): OwnUse;
+  useOf(server: ServerView): OwnUse;
   count(): number;
   /** Records how long a request has taken that was served. */
   recordServed(place: HeldPlace): void;
@@ -46,18 +46,22 @@
       places?.delete(place);
       if (places?.size === 0) byServer.delete(server);
     },
-    useOf: (server, report) => {
+    useOf: ({ id, report, outstanding }) => {
       const at = now();
       const reportedAt = report ? at - report.ageMilliseconds : Infinity;
       let requests = 0;
       let requestsSinceReport = 0;
       let oldestMilliseconds = 0;
-      byServer.get(server)?.forEach(({ takenAt }) => {
+      byServer.get(id)?.forEach(({ takenAt }) => {
         requests += 1;
         if (takenAt >= reportedAt) requestsSinceReport += 1;
         oldestMilliseconds = Math.max(oldestMilliseconds, at - takenAt);
       });
-      return { requests, requestsSinceReport, oldestMilliseconds };
+      return {
+        requests: Math.max(requests, outstanding),
+        requestsSinceReport,
+        oldestMilliseconds,
+      };
     },
     count: () => [...byServer.values()].reduce((sum, { size }) => sum + size, 0),
     recordServed: ({ service, takenAt }) => {
--- a/packages/admission/test/fleet.ts
+++ b/packages/admission/test/fleet.ts
@@ -225,6 +225,7 @@
       return {
         id,
         slots,
+        outstanding: host.outstanding[index]!,
         requestsFromOtherHosts: host.heard.running[index]!,
         report: report && { requests: report.requests, ageMilliseconds: now() - report.at },
         isAvoided: host.avoidedUntil[index]! > now(),
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,4 +1,5 @@
 /** Attempts of one request: sends it to servers and handles failures. */
+import type { Place } from '@bulrushspar/admission';
 import { ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
 import { startMonotonicStopwatch } from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
@@ -42,6 +43,8 @@
   requiredVersion: string | undefined;
   /** Successful answer that the server of the last attempt has begun. */
   begunAnswer: BegunAnswer | undefined;
+  /** Place at the server of the last attempt, if requests take places. */
+  place?: Place | undefined;
 }
 
 /** Sends each request to servers until one of them answers it. */
@@ -192,6 +195,7 @@
     } finally {
       cancelSilenceTimeout();
       changeOutstanding(state, call.requirements?.model, -1);
+      request.place?.release(request.begunAnswer !== undefined);
     }
   };
 
@@ -293,6 +297,7 @@
       chargeRetryBudget(request, lastError);
       return state;
     } catch (error) {
+      request.place?.release(false);
       throw request.possibleRunCount > 0 && isRefusal(error)
         ? createTargetFailedRefusal(lastError)
         : error;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -56,6 +56,7 @@
   type OverloadControl,
   type OverloadControlOptions,
 } from './overload.js';
+export { listGroupServers } from './places.js';
 export { createStoppingRefusal } from './refusals.js';
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
 export {
--- a/packages/serving/src/metrics.ts
+++ b/packages/serving/src/metrics.ts
@@ -9,6 +9,7 @@
   readonly wholeAnswer: LatencyMetric;
   readonly coldStart: LatencyMetric;
   readonly limitWait: LatencyMetric;
+  readonly placeWait: LatencyMetric;
 }
 
 /** Registers the metrics of request handling. */
@@ -24,5 +25,9 @@
       'limit_wait',
       'Time that requests waited for the limit of a server.',
     ),
+    placeWait: metrics.latency(
+      'place_wait',
+      'Time that requests waited while all servers were full.',
+    ),
   };
 }
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -1,4 +1,5 @@
 /** Selects the server of the next attempt of a request, and waits until it can receive the request. */
+import type { AdmissionQueue } from '@bulrushspar/admission';
 import { startStopwatch, type Clock } from '@bulrushspar/clock';
 import type { Refusal } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -7,6 +8,7 @@
 import { selectServer } from './choose.js';
 import type { ServerLimits } from './limits.js';
 import type { ServingMetrics } from './metrics.js';
+import { createPlaceTaker } from './places.js';
 import {
   createNoAdapterRefusal,
   createNoServerRefusal,
@@ -28,6 +30,8 @@
   readonly servers: ServerStates;
   readonly waits: ModelWaits;
   readonly limits: ServerLimits;
+  /** Orders the requests that wait for full servers; absent if each is sent at once. */
+  readonly places?: AdmissionQueue | undefined;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
 }
@@ -69,9 +73,13 @@
     return all.filter(({ entry }) => entry.softwareVersion === requiredVersion);
   };
 
-  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) =>
+  const trySelectServer = (
+    request: ActiveRequest<SomeCall>,
+    allowTried: boolean,
+    isAllowed: (server: string) => boolean = () => true,
+  ) =>
     selectServer({
-      candidates: listServers(request),
+      candidates: listServers(request).filter(({ entry }) => isAllowed(entry.id)),
       requirements: request.call.requirements,
       failureDomain,
       excluded: allowTried ? new Set() : request.triedServers,
@@ -175,11 +183,27 @@
     return remaining.length > 0 && earliest > 0 ? earliest : undefined;
   };
 
+  const takePlace =
+    options.places &&
+    createPlaceTaker<SomeCall>({
+      ...options,
+      queue: options.places,
+      listServers,
+      getMaxLimitMilliseconds,
+      select: (request, isAllowed) =>
+        trySelectServer(request, false, isAllowed) ?? trySelectServer(request, true, isAllowed),
+    });
+
   /** Selects an untried server or, if there is none, one that can receive the request again. */
   const selectNextServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
-    const untried = trySelectServer(request, false);
+    const placed = await takePlace?.(request);
+    const { requirements } = request.call;
+    // The last server with the model may have unloaded it while the request waited for a place.
+    if (takePlace && !placed && requirements) await awaitModel(request, requirements);
+    if (placed && !request.triedServers.has(placed.entry.id)) return placed;
+    const untried = placed ? undefined : trySelectServer(request, false);
     if (untried) return untried;
-    const tried = trySelectServer(request, true);
+    const tried = placed ?? trySelectServer(request, true);
     if (!tried) {
       const { service } = request.admitted;
       const limited = limitedMilliseconds(request);
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -1,4 +1,5 @@
 /** Simulated servers that crash, and hosts that serve requests with them. */
+import { createAdmissionQueue, type AdmissionQueue } from '@bulrushspar/admission';
 import type { Route, ServerEntry, Workspace } from '@bulrushspar/catalogue';
 import type { ManualClock } from '@bulrushspar/clock';
 import { createDemandTracker } from '@bulrushspar/loading';
@@ -12,6 +13,7 @@
   createServerStates,
   createServingMetrics,
   createStreamVersions,
+  listGroupServers,
   type Call,
   type ModelWaits,
   type Reply,
@@ -43,6 +45,8 @@
 export interface TestHost {
   readonly handler: RequestHandler<Call>;
   readonly waits: ModelWaits;
+  /** Requests that wait for a place; undefined if the host sends each at once. */
+  readonly places: AdmissionQueue | undefined;
   /** Reads the states of the servers again. */
   updateServers(): void;
 }
@@ -59,6 +63,8 @@
   readonly limits?: ServerLimits;
   /** Whether a server holds the model. */
   readonly isLoaded?: (server: TestServer) => boolean;
+  /** Whether requests wait for places at servers. */
+  readonly takesPlaces?: boolean;
 }
 
 /** The model that the servers hold. */
@@ -143,6 +149,15 @@
     workspaces: options.workspaces ?? [],
     callerLimits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
   });
+  const places = options.takesPlaces
+    ? createAdmissionQueue({
+        clock,
+        random: () => 0.5,
+        fleet: () => ({ hosts: 1, linkedFraction: 1 }),
+        waitingElsewhere: () => ({}),
+        listServers: (group) => listGroupServers(states, group),
+      })
+    : undefined;
   const handler = createRequestHandler<Call>({
     clock,
     logger: { info: () => {}, warn: () => {}, error: () => {} },
@@ -168,9 +183,10 @@
     },
     ensureAdapter: () => Promise.resolve(true),
     getStoppingRefusal: () => undefined,
+    places,
     send,
   });
-  return { handler, waits, updateServers };
+  return { handler, waits, places, updateServers };
 }
 
 /**
