Entry: state messages tell which requests wait for places

HostState and FleetSummary carry the numbers of waiting requests by service, model and rank, and leave them out where none waits. Hosts of builds that do not send them count as having none. The host creates its queue of places only with sharesCapacity.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
+import { createAdmissionQueue } from '@bulrushspar/admission';
 import {
   createServerDirectory,
   type FleetConfiguration,
@@ -23,6 +24,7 @@
   createServingMetrics,
   createStoppingRefusal,
   createStreamVersions,
+  listGroupServers,
   type Call,
   type SendCall,
   type RequestHandler,
@@ -223,6 +225,19 @@
   const waits = createModelWaits({ clock, onNewModel: () => sendWants() });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
+  const places = options.sharesCapacity
+    ? createAdmissionQueue({
+        clock,
+        random,
+        fleet: () => ({
+          hosts: fleet.topology.size(),
+          linkedFraction: gossip.linkedFraction(),
+        }),
+        waitingElsewhere: () => gossip.waitingOnOtherHosts(),
+        listServers: (group) => listGroupServers(servers, group),
+      })
+    : undefined;
+
   const streams = createStreamVersions({
     clock,
     onBegun: (stream) => fleet.broadcast(MESSAGE.BEGUN, stream),
@@ -461,6 +476,7 @@
     quotas,
     demand,
     ownRunning: () => countRunningRequests(servers.all()),
+    ownWaiting: () => places?.waiting() ?? {},
     followers: () => followers,
     leadership: () => leadership,
     onExpired: (name) => leadership.commander.removeHost(name),
@@ -479,6 +495,7 @@
     budget: retryBudget,
     promptParts,
     limits,
+    places,
     send: options.send,
     streams,
     onNotice: applyNotice,
@@ -525,6 +542,7 @@
       isRefusing = true;
       // A waiting request has not run yet, and its wait may outlast the shutdown.
       waits.close();
+      places?.close(createStoppingRefusal);
     },
     releaseOrderLease: () => {
       releasing.abort();
--- a/packages/entry/src/gossip.ts
+++ b/packages/entry/src/gossip.ts
@@ -1,3 +1,4 @@
+import type { WaitingCounts } from '@bulrushspar/admission';
 import { startMonotonicStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
 import type { DemandTracker } from '@bulrushspar/loading';
 import { sendToAll, type Link } from '@bulrushspar/peer';
@@ -16,7 +17,12 @@
 import type { Quotas } from './quotas.js';
 import type { KindFollower } from './source.js';
 import type { Topology } from './topology.js';
-import { createRunningTotals, sumCounts, type RunningRequests } from './totals.js';
+import {
+  createRunningTotals,
+  createWaitingTotals,
+  sumCounts,
+  type RunningRequests,
+} from './totals.js';
 
 /** Exchange of state between the hosts of a fleet. */
 export interface Gossip {
@@ -35,6 +41,8 @@
   removeHost(host: string): void;
   /** Running requests of the other hosts on a server. */
   runningOnOtherHosts(server: string): number;
+  /** Requests of the other hosts that wait for a place at a server, as last reported. */
+  waitingOnOtherHosts(): WaitingCounts;
   /** Running requests of all hosts that report to this one on a server, by model. */
   runningByModel(server: string): ReadonlyMap<string, number>;
   /** Fraction of the fleet that reports to this host or its hubs, itself included; from 0 to 1. */
@@ -62,6 +70,8 @@
   readonly demand: DemandTracker;
   /** Running requests of this host, by server and model. */
   readonly ownRunning: () => RunningRequests;
+  /** Requests of this host that wait for a place at a server; none by default. */
+  readonly ownWaiting?: () => WaitingCounts;
   readonly followers: () => readonly KindFollower[];
   readonly leadership: () => OrderLeadership;
   /** Called when no hub has passed on a state of a host without a link for some time. */
@@ -102,22 +112,26 @@
 /** Shortfall of hosts at which a hub is still preferred for being in the same failure domain. */
 const NEAR_HUB_HOST_TOLERANCE = 2;
 
-/** Adds up the credit that two states of a host report, by model. */
-const addCredit = (
+/** Adds up two counts, by name. */
+const addCounts = (
   first: Readonly<Record<string, number>>,
   second: Readonly<Record<string, number>>,
 ): Record<string, number> => {
   const sums = { ...first };
-  Object.entries(second).forEach(([model, credit]) => {
-    sums[model] = (sums[model] ?? 0) + credit;
+  Object.entries(second).forEach(([name, count]) => {
+    sums[name] = (sums[name] ?? 0) + count;
   });
   return sums;
 };
 
+/** Leaves out empty counts, as most messages have none. */
+const describeWaiting = (waiting: WaitingCounts): { readonly waiting?: WaitingCounts } =>
+  Object.keys(waiting).length > 0 ? { waiting } : {};
+
 /** Creates the state exchange of one host. */
 export function createGossip(options: GossipOptions): Gossip {
   const { clock, self, topology, quotas, demand, ownRunning, followers, leadership } = options;
-  const { onExpired = () => {} } = options;
+  const { onExpired = () => {}, ownWaiting = () => ({}) } = options;
   const states = new Map<string, ReceivedState>();
   /** States of the members since the last message to the other hubs, by host. */
   const pendingStates = new Map<string, PendingState>();
@@ -125,6 +139,7 @@
   /** Process that each restarted host ran before; its last states may arrive late. */
   const formerIncarnations = new Map<string, string>();
   const totals = createRunningTotals();
+  const waitingTotals = createWaitingTotals();
   const standbySentAt = new Map<string, number>();
   let sequence = 0;
   let requestedCredit: Record<string, number> = {};
@@ -196,6 +211,7 @@
       taken: quotas.taken(),
       running: ownRunning(),
       asked: requested,
+      ...describeWaiting(ownWaiting()),
       orders: leadership().describeLease(),
       seen: versionByKind(),
       views: describeViews(),
@@ -261,12 +277,13 @@
       isDirect: isDirect || (known?.isDirect ?? false),
     });
     totals.set(host, state.running);
+    waitingTotals.set(host, state.waiting ?? {});
     leadership().receiveLease(host, state.orders, age);
     return true;
   };
 
   const recordPendingState = (peer: Incarnation, state: HostState): void => {
-    const asked = addCredit(pendingStates.get(peer.host)?.state.asked ?? {}, state.asked);
+    const asked = addCounts(pendingStates.get(peer.host)?.state.asked ?? {}, state.asked);
     const { summaries: _rate, ...relayed } = state;
     const since = startMonotonicStopwatch(clock);
     pendingStates.set(peer.host, { peer, state: { ...relayed, asked }, since });
@@ -278,6 +295,7 @@
     summaries.delete(host);
     standbySentAt.delete(host);
     totals.remove(host);
+    waitingTotals.remove(host);
   };
 
   const watchersOf = (kind: string): readonly string[] => {
@@ -303,6 +321,7 @@
     hosts: countReportingHosts(),
     taken: quotas.totalsExcept(receiver),
     running: runningExcept(receiver),
+    ...describeWaiting(addCounts(waitingTotals.countsExcept(receiver), ownWaiting())),
     orders: leadership().newestLease(),
     seen: versionByKind(),
     views: describeViews(),
@@ -370,6 +389,11 @@
       if (primaryHub === undefined) return totals.countOf(server);
       return summaries.get(primaryHub)?.body.running[server] ?? 0;
     },
+    waitingOnOtherHosts: () => {
+      if (primaryHub === undefined) return waitingTotals.countsExcept(self);
+      const summary = summaries.get(primaryHub);
+      return summary && isFresh(summary) ? (summary.body.waiting ?? {}) : {};
+    },
     runningByModel: (server) => {
       const sums = new Map(totals.countsByModel(server));
       Object.entries(ownRunning()[server] ?? {}).forEach(([model, count]) =>
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,3 +1,4 @@
+import type { WaitingCounts } from '@bulrushspar/admission';
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { PromptPartUpdate } from '@bulrushspar/routing';
@@ -70,6 +71,8 @@
   readonly running: RunningRequests;
   /** Credit of the requests received since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
+  /** Requests that wait for a place at a server, by group and rank; absent if none does. */
+  readonly waiting?: WaitingCounts;
   /** The host's lease for orders; absent if it has never held it. */
   readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
@@ -125,6 +128,8 @@
   readonly taken: Readonly<Record<string, number>>;
   /** Running requests, by server. */
   readonly running: Readonly<Record<string, number>>;
+  /** Requests that wait for a place at a server, by group and rank; absent if none does. */
+  readonly waiting?: WaitingCounts;
   /** The lease for orders with the highest known fencing number. */
   readonly orders?: ReportedLease;
   /** Version at which each followed kind last changed. */
--- a/packages/entry/src/totals.ts
+++ b/packages/entry/src/totals.ts
@@ -1,3 +1,4 @@
+import type { WaitingCounts } from '@bulrushspar/admission';
 import type { ServerState } from '@bulrushspar/serving';
 
 /** Running requests, by server and model; requests without a model have the empty name. */
@@ -87,3 +88,26 @@
     },
   };
 }
+
+/** Sums of the waiting requests of several hosts, updated incrementally. */
+export interface WaitingTotals {
+  /** Replaces the waiting requests of one host. */
+  set(host: string, waiting: WaitingCounts): void;
+  remove(host: string): void;
+  /** Waiting requests by group and rank, without those of one host. */
+  countsExcept(host: string): Record<string, number>;
+}
+
+/** Creates empty totals. */
+export function createWaitingTotals(): WaitingTotals {
+  const totals = createRunningTotals();
+  return {
+    set: (host, waiting) =>
+      totals.set(
+        host,
+        Object.fromEntries(Object.entries(waiting).map(([key, count]) => [key, { '': count }])),
+      ),
+    remove: totals.remove,
+    countsExcept: totals.countsExcept,
+  };
+}
--- a/packages/entry/test/gossip.feature
+++ b/packages/entry/test/gossip.feature
@@ -49,3 +49,21 @@
       | the link of each member to its hub is lost | once            |
       | the first hub ends                         | within a tenth  |
       | the links between the first two hubs lag   | once            |
+
+  # Guards against hosts that share out room by the waiting requests of a part of the fleet, or of the past.
+  Scenario Outline: Every host learns which requests wait on the others
+    Given <hosts> hosts in 3 failure domains that exchange states
+    When on each host 2 requests wait as "0|llm|m"
+    And 1000 ms pass
+    Then every host knows of <total> requests on the others that wait as "0|llm|m"
+    When each other host is of a build that tells of no waiting requests
+    And 1000 ms pass
+    Then every host knows of <half> requests on the others that wait as "0|llm|m"
+    When no request waits any more
+    And 1000 ms pass
+    Then no host knows of waiting requests
+
+    Examples:
+      | hosts | total | half |
+      | 4     | 8     | 4    |
+      | 62    | 124   | 62   |
--- a/packages/entry/test/gossip.ts
+++ b/packages/entry/test/gossip.ts
@@ -29,6 +29,8 @@
   readonly gossip: Gossip;
   readonly links: Map<string, Link>;
   running: RunningRequests;
+  /** Requests that wait for a place, by group and rank. */
+  waiting: Readonly<Record<string, number>>;
   taken: number;
   recordedCredit: number;
   messages: number;
@@ -126,6 +128,7 @@
       },
     },
     ownRunning: () => host.running,
+    ownWaiting: () => host.waiting,
     followers: () => [],
     leadership: () => noLeadership as OrderLeadership,
   });
@@ -137,6 +140,7 @@
     gossip,
     links: new Map(),
     running: {},
+    waiting: {},
     taken: 0,
     recordedCredit: 0,
     messages: 0,
@@ -274,3 +278,39 @@
     assert.equal(gossip.linkedFraction(), 1 / size, place.host),
   );
 });
+
+When(
+  'on each host {int} requests wait as {string}',
+  function wait(this: GossipWorld, count: number, key: string) {
+    running(this).forEach((host) => Object.assign(host, { waiting: { [key]: count } }));
+  },
+);
+
+When('no request waits any more', function end(this: GossipWorld) {
+  running(this).forEach((host) => Object.assign(host, { waiting: {} }));
+});
+
+When(
+  'each other host is of a build that tells of no waiting requests',
+  function old(this: GossipWorld) {
+    running(this).forEach((host, index) => {
+      if (index % 2 === 1) Object.assign(host, { waiting: {} });
+    });
+  },
+);
+
+Then(
+  'every host knows of {int} requests on the others that wait as {string}',
+  function check(this: GossipWorld, count: number, key: string) {
+    running(this).forEach(({ gossip, waiting, place }) => {
+      const expected = count - (waiting[key] ?? 0);
+      assert.equal(gossip.waitingOnOtherHosts()[key] ?? 0, expected, place.host);
+    });
+  },
+);
+
+Then('no host knows of waiting requests', function check(this: GossipWorld) {
+  running(this).forEach(({ gossip, place }) =>
+    assert.deepEqual(gossip.waitingOnOtherHosts(), {}, place.host),
+  );
+});
