--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -15,8 +15,8 @@
   type AdmissionQueue,
   type AdmissionQueueOptions,
   type Place,
-  type PlaceRequest,
 } from './queue.js';
+export type { PlaceRequest } from './entry.js';
 export {
   computeSendRate,
   estimateRequests,
--- a/packages/admission/src/queue.ts
+++ b/packages/admission/src/queue.ts
@@ -7,54 +7,16 @@
   decide,
   estimateWaitMilliseconds,
   REFUSAL_CAUSE,
-  type Candidate,
   type Decision,
-  type RefusalCause,
 } from './decide.js';
-import { countAhead, countElsewhere, sumRanks, type RankCounts } from './demand.js';
+import { groupKeyOf, isOfGroup, type Entry, type PlaceRequest } from './entry.js';
+import { createKnowledge, drawServer, type FleetKnowledge } from './knowledge.js';
 import { createFairLine } from './line.js';
-import { createFullRefusal } from './refusal.js';
 import { createPriorityMix } from './mix.js';
+import { createFullRefusal } from './refusal.js';
 import { createReleases } from './releases.js';
-import {
-  computeSendRate,
-  estimateRequests,
-  estimateServiceMilliseconds,
-  freeLimitOf,
-  limitOf,
-  overfullLimitOf,
-  type FleetView,
-  type ServerView,
-  type WaitingDemand,
-} from './room.js';
 import { createHeldPlaces, type HeldPlace } from './use.js';
-import {
-  decodeWaiting,
-  encodeWaitingKey,
-  rankOf,
-  type RequestGroup,
-  type WaitingCounts,
-} from './waiting.js';
-
-/** A request that asks for a place at a server. */
-export interface PlaceRequest extends RequestGroup {
-  readonly workspace: string;
-  /** Share of the workspace relative to others while requests wait. */
-  readonly weight: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Expected cost of the request in tokens; 1 if it is not known. */
-  readonly expectedTokens: number;
-  /** Time left until its objective is missed. */
-  readonly objectiveMilliseconds: number;
-  /** Time left until it must be answered. */
-  readonly remainingMilliseconds: number;
-  readonly signal: AbortSignal;
-  /** @returns the servers that could run the request now */
-  readonly listServers: () => readonly ServerView[];
-  /** Selects one of the allowed servers. @returns its id; undefined if none is suitable after all */
-  readonly select: (isAllowed: (server: string) => boolean) => string | undefined;
-}
+import { encodeWaitingKey, rankOf, type RequestGroup, type WaitingCounts } from './waiting.js';
 
 /** Place of a request at a server. */
 export interface Place {
@@ -79,34 +41,10 @@
 }
 
 /** Options of {@link createAdmissionQueue}. */
-export interface AdmissionQueueOptions {
+export interface AdmissionQueueOptions extends FleetKnowledge {
   readonly clock: Clock;
   /** @returns a number from 0 up to but not including 1 */
   readonly random: () => number;
-  readonly fleet: () => FleetView;
-  /** @returns the waiting requests of the other hosts, as far as they have told */
-  readonly waitingElsewhere: () => WaitingCounts;
-  /** @returns the ids of the servers that can run the requests of a group */
-  readonly listServers: (group: RequestGroup) => readonly string[];
-}
-
-interface Entry {
-  readonly workspace: string;
-  readonly weight: number;
-  readonly request: PlaceRequest;
-  readonly arrivedAt: number;
-  readonly lateAt: number;
-  /** Time until which it may wait on this host. */
-  readonly boundAt: number;
-  readonly deadlineAt: number;
-  rank: number;
-  /** Whether it has just missed its objective, so that fewer requests come after it. */
-  hasBecomeLate: boolean;
-  views: readonly ServerView[];
-  servers: readonly string[];
-  readonly grant: (server: string | undefined) => void;
-  readonly refuse: (cause: RefusalCause, expectedMilliseconds: number) => void;
-  readonly fail: (reason: unknown) => void;
 }
 
 /**
@@ -123,60 +61,22 @@
 /** Requests that wait on one host at most: far more than it receives within their time, 30 to 60. */
 const MAX_WAITING = 256;
 
-interface ServerRate {
-  readonly id: string;
-  /** Negative if the server has too many requests. */
-  readonly perSecond: number;
-}
-
-const groupKeyOf = ({ service, model }: RequestGroup): string => `${service}|${model}`;
-
-const isOfGroup = ({ request }: Entry, { service, model }: RequestGroup): boolean =>
-  request.service === service && request.model === model;
-
 /** Creates the queue of a host on which nothing waits. */
 export function createAdmissionQueue(options: AdmissionQueueOptions): AdmissionQueue {
-  const { clock, random, fleet, waitingElsewhere } = options;
+  const { clock, random } = options;
   const now = (): number => clock.monotonic();
   const held = createHeldPlaces(now);
   const releases = createReleases({ now, random });
   const ageing = createAgeing(now);
   const mix = createPriorityMix(now);
   const line = createFairLine<Entry>(({ rank }) => rank);
-  let elsewhere: ReadonlyMap<string, RankCounts> = new Map();
+  const knowledge = createKnowledge({ ...options, now, line, held, mix });
   let cancelTimer: Stop | undefined;
   let isChecking = false;
 
-  const describeCandidate = (entry: Entry, view: ServerView, group: FleetView): Candidate => {
-    const own = held.useOf(view);
-    const ahead = countAhead(entry, view.id, line.entries());
-    const requests = estimateRequests(view, own, group);
-    return {
-      id: view.id,
-      slots: view.slots,
-      limit: limitOf(view),
-      freeLimit: freeLimitOf(view, own, requests),
-      overfullLimit: overfullLimitOf(view),
-      requests: requests * mix.shareUpTo(entry.request),
-      aheadHere: ahead.all,
-      urgentHere: ahead.urgent,
-      aheadElsewhere: sumRanks(elsewhere.get(view.id), entry.rank, true),
-      urgentElsewhere: sumRanks(elsewhere.get(view.id), entry.rank, false),
-      serviceMilliseconds: estimateServiceMilliseconds(
-        held.serviceMilliseconds(entry.request.service),
-        own,
-      ),
-    };
-  };
-
-  const describeCandidates = (entry: Entry): readonly Candidate[] => {
-    const group = fleet();
-    return entry.views.map((view) => describeCandidate(entry, view, group));
-  };
-
   const decideOn = (entry: Entry): Decision =>
     decide({
-      candidates: describeCandidates(entry),
+      candidates: knowledge.describeCandidates(entry),
       boundMilliseconds: entry.boundAt - now(),
       remainingMilliseconds: entry.deadlineAt - now(),
       mayOvertake: ageing.mayOvertake(),
@@ -186,22 +86,16 @@
   const tryGrant = (entry: Entry, isAllowed: (server: string) => boolean): boolean => {
     const server = entry.request.select(isAllowed);
     if (server === undefined) return false;
-    const overtakes = [...line.entries()].some(
-      (other) => other.rank < entry.rank && other.servers.includes(server),
-    );
-    const overtaken = [...line.entries()].some(
-      (other) => other.rank > entry.rank && other.servers.includes(server),
-    );
-    if (overtakes) ageing.recordOvertaking();
-    else if (overtaken) ageing.recordUrgent();
+    const others = [...line.entries()].filter(({ servers }) => servers.includes(server));
+    if (others.some(({ rank }) => rank < entry.rank)) ageing.recordOvertaking();
+    else if (others.some(({ rank }) => rank > entry.rank)) ageing.recordUrgent();
     mix.recordSent(entry.request);
     entry.grant(server);
     return true;
   };
 
   const refreshEntries = (): void => {
-    const groups = decodeWaiting(waitingElsewhere());
-    elsewhere = groups.length === 0 ? new Map() : countElsewhere(groups, options.listServers);
+    knowledge.refresh();
     [...line.entries()].forEach((entry) => {
       const changed = entry;
       changed.views = entry.request.listServers();
@@ -251,63 +145,16 @@
       const waits = (entry: Entry): boolean => isOfGroup(entry, group) && !skipped.has(entry);
       for (;;) {
         const first = line.first(waits);
-        const rates = first ? computeRates(first) : [];
+        const rates = first ? knowledge.computeRates(first) : [];
         const sum = rates.reduce((total, { perSecond }) => total + perSecond, 0);
         if (!releases.take(key, Math.max(0, sum))) return;
         const entry = ageing.choose(line, waits, first!);
-        const drawn = drawServer(rates);
+        const drawn = drawServer(rates, random());
         if (!tryGrant(entry, (server) => server === drawn)) skipped.add(entry);
       }
     });
   };
 
-  /** Returns the rate at which requests of a group may be sent to each server. */
-  const computeRates = (first: Entry): readonly ServerRate[] => {
-    const group = fleet();
-    const { rank, request, views } = first;
-    const serviceMilliseconds = held.serviceMilliseconds(request.service);
-    const urgentShare = mix.shareUpTo(request);
-    return views.map((view) => {
-      const use = held.useOf(view);
-      const demand = describeDemand(first, view.id, rank);
-      return {
-        id: view.id,
-        perSecond: computeSendRate(view, use, group, demand, { serviceMilliseconds, urgentShare }),
-      };
-    });
-  };
-
-  /**
-   * Draws a server in proportion to the rates: all hosts see the same one as the emptiest for a time, and
-   * would fill it at once. The better of two drawn ones was worse: it follows the same old counts.
-   */
-  const drawServer = (rates: readonly ServerRate[]): string | undefined => {
-    const positive = rates.filter(({ perSecond }) => perSecond > 0);
-    const sum = positive.reduce((total, { perSecond }) => total + perSecond, 0);
-    let left = random() * sum;
-    return positive.find(({ perSecond }) => {
-      left -= perSecond;
-      return left < 0;
-    })?.id;
-  };
-
-  const describeDemand = (first: Entry, server: string, rank: number): WaitingDemand => {
-    const others = elsewhere.get(server);
-    let own = 0;
-    let ofOtherGroups = 0;
-    for (const entry of line.entries())
-      if (entry.rank === rank && entry.servers.includes(server)) {
-        const part = 1 / entry.servers.length;
-        if (isOfGroup(entry, first.request)) own += part;
-        else ofOtherGroups += part;
-      }
-    return {
-      own,
-      elsewhere: ofOtherGroups + (others?.get(rank) ?? 0),
-      urgentElsewhere: sumRanks(others, rank, false),
-    };
-  };
-
   const schedule = (): void => {
     cancelTimer?.();
     cancelTimer = undefined;
@@ -363,7 +210,10 @@
     const excess = ofRank.reduce((most, entry) =>
       countOf(entry.workspace) >= countOf(most.workspace) ? entry : most,
     );
-    excess.refuse(REFUSAL_CAUSE.TOO_MANY, estimateWaitMilliseconds(describeCandidates(excess)));
+    excess.refuse(
+      REFUSAL_CAUSE.TOO_MANY,
+      estimateWaitMilliseconds(knowledge.describeCandidates(excess)),
+    );
   };
 
   /** Refuses a request at its arrival if the requests before it leave it no time. */
--- a/packages/admission/test/admission.ts
+++ b/packages/admission/test/admission.ts
@@ -135,6 +135,14 @@
   },
 );
 
+Then(
+  'the servers use at most {float} fewer of their slots than without a queue',
+  function check(this: AdmissionWorld, most: number) {
+    const used = [this.result.utilization, this.baseline.utilization] as const;
+    assert.ok(used[0] >= used[1] - most, `${used[0]} and without a queue ${used[1]}`);
+  },
+);
+
 Then(
   'a server holds at most {int} requests on average',
   function check(this: AdmissionWorld, most: number) {
