--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
+import { createAdmissionQueue } from '@bulrushspar/admission';
 import {
   acceptsRequests,
   createServerDirectory,
@@ -25,6 +26,7 @@
   createServingMetrics,
   createStoppingRefusal,
   createStreamVersions,
+  listGroupServers,
   type Call,
   type SendCall,
   type RequestHandler,
@@ -259,6 +261,19 @@
   });
   const admission = createAdmission({ bucketOf: quotas.bucketOf, random });
 
+  const places = options.sharesCapacity
+    ? createAdmissionQueue({
+        clock,
+        random,
+        fleet: () => ({
+          hosts: fleet.topology.size(),
+          linkedFraction: gossip.linkedFraction(),
+        }),
+        waitingElsewhere: () => gossip.waitingOnOtherHosts(),
+        listServers: (group) => listGroupServers(servers, group),
+      })
+    : undefined;
+
   const streams = createStreamVersions({
     clock,
     onBegun: (stream) => fleet.broadcast(MESSAGE.BEGUN, stream),
@@ -561,6 +576,7 @@
     demand,
     ownRunning: () => countRunningRequests(servers.all()),
     slowness: balancing?.exchange,
+    ownWaiting: () => places?.waiting() ?? {},
     followers: () => followers,
     leadership: () => leadership,
     onExpired: (name) => leadership.commander.removeHost(name),
@@ -579,6 +595,7 @@
     budget: retryBudget,
     promptParts,
     limits,
+    places,
     send: options.send,
     streams,
     onNotice: applyNotice,
@@ -634,6 +651,7 @@
       isRefusing = true;
       // A waiting request has not run yet, and its wait may outlast the shutdown.
       waits.close();
+      places?.close(createStoppingRefusal);
     },
     releaseOrderLease: () => {
       releasing.abort();
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,3 +1,4 @@
+import type { WaitingCounts } from '@bulrushspar/admission';
 import type { ServerDeparture } from '@bulrushspar/catalogue';
 import type { Outlook, Want } from '@bulrushspar/loading';
 import type { PromptPartUpdate } from '@bulrushspar/routing';
@@ -80,6 +81,8 @@
   readonly running: RunningRequests;
   /** Credit of the requests received since the last state, by model. */
   readonly asked: Readonly<Record<string, number>>;
+  /** Requests that wait for a place at a server, by group and rank; absent if none does. */
+  readonly waiting?: WaitingCounts;
   /** The host's lease for orders; absent if it has never held it. */
   readonly orders?: OrderLease;
   /** Version at which each followed kind last changed. */
@@ -139,6 +142,8 @@
   readonly running: Readonly<Record<string, number>>;
   /** Slowness of servers that any host has observed; absent if there is nothing to tell. */
   readonly slow?: SlownessMessage | undefined;
+  /** Requests that wait for a place at a server, by group and rank; absent if none does. */
+  readonly waiting?: WaitingCounts;
   /** The lease for orders with the highest known fencing number. */
   readonly orders?: ReportedLease;
   /** Version at which each followed kind last changed. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -65,6 +65,7 @@
   type OverloadControl,
   type OverloadControlOptions,
 } from './overload.js';
+export { listGroupServers } from './places.js';
 export { createStoppingRefusal } from './refusals.js';
 export { createRequestHandler, type RequestHandler, type RequestHandlerOptions } from './serve.js';
 export { createSlownessExchange, type SlownessExchange, type SlownessMessage } from './slowness.js';
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -1,4 +1,5 @@
 /** Selects the server of the next attempt of a request, and waits until it can receive the request. */
+import type { AdmissionQueue } from '@bulrushspar/admission';
 import { acceptsRequests, ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
 import { startStopwatch, type Clock } from '@bulrushspar/clock';
 import type { Refusal } from '@bulrushspar/errors';
@@ -10,6 +11,7 @@
 import { countPromptTokens } from './prompts.js';
 import type { ServerLimits } from './limits.js';
 import type { ServingMetrics } from './metrics.js';
+import { createPlaceTaker } from './places.js';
 import {
   createNoAdapterRefusal,
   createNoServerRefusal,
@@ -38,6 +40,8 @@
   readonly streams: StreamVersions;
   /** @returns whether nothing may be sent to a server, also if it is not listed any more */
   readonly isEvacuated?: (server: ServerEntry) => boolean;
+  /** Orders the requests that wait for full servers; absent if each is sent at once. */
+  readonly places?: AdmissionQueue | undefined;
   /** Requests the load of an adapter. @returns whether the server holds it or will soon */
   readonly ensureAdapter: (server: string, model: string, adapter: string) => Promise<boolean>;
   /** Present if hosts share the capacity of the servers. */
@@ -92,8 +96,13 @@
   }: ActiveRequest<SomeCall>): boolean =>
     route.kind === ROUTE_KIND.STREAM && route.resumable && requiredVersion === undefined;
 
-  const trySelectServer = (request: ActiveRequest<SomeCall>, allowTried: boolean) => {
-    const candidates = listServers(request);
+  const trySelectServer = (
+    request: ActiveRequest<SomeCall>,
+    allowTried: boolean,
+    isAllowed?: (server: string) => boolean,
+  ) => {
+    const listed = listServers(request);
+    const candidates = isAllowed ? listed.filter(({ entry }) => isAllowed(entry.id)) : listed;
     if (!beginsStream(request)) return selectFrom(candidates, request, allowTried);
     const settled = candidates.filter(({ entry }) => streams.mayBegin(entry));
     return (
@@ -250,11 +259,27 @@
     return remaining.length > 0 && earliest > 0 ? earliest : undefined;
   };
 
+  const takePlace =
+    options.places &&
+    createPlaceTaker<SomeCall>({
+      ...options,
+      queue: options.places,
+      listServers,
+      getMaxLimitMilliseconds,
+      select: (request, isAllowed) =>
+        trySelectServer(request, false, isAllowed) ?? trySelectServer(request, true, isAllowed),
+    });
+
   /** Selects an untried server or, if there is none, one that can receive the request again. */
   const selectNextServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
-    const untried = trySelectServer(request, false);
+    const placed = await takePlace?.(request);
+    const { requirements } = request.call;
+    // The last server with the model may have unloaded it while the request waited for a place.
+    if (takePlace && !placed && requirements) await awaitModel(request, requirements);
+    if (placed && !request.triedServers.has(placed.entry.id)) return placed;
+    const untried = placed ? undefined : trySelectServer(request, false);
     if (untried) return untried;
-    const tried = trySelectServer(request, true);
+    const tried = placed ?? trySelectServer(request, true);
     if (!tried) {
       requireServerInUse(request);
       const { service } = request.admitted;
