--- a/packages/entry/test/versions.ts
+++ b/packages/entry/test/versions.ts
@@ -46,6 +46,16 @@
   this.fleet.setServers(replicate(version as string));
 });
 
+When('a server is replaced by version {string}', function set(this: VersionsWorld, version) {
+  const [, ...others] = replicate(this.fleet.listVersions()[0]!);
+  this.fleet.setServers([...others, version as string]);
+});
+
+When('a stream begins at version {string}', function begin(this: VersionsWorld, version: string) {
+  this.stream = this.fleet.begin(1, () => 0.99)!;
+  assert.equal(this.stream.softwareVersion, version);
+});
+
 /** Kills all hosts, and starts them again after what happens meanwhile. */
 async function killAll({ fleet }: VersionsWorld, meanwhile: () => void = () => {}): Promise<void> {
   fleet.kill(ALL);
