Count loads by reason, test the change of leader, and make plans cheaper

Cause: operators could not tell background loads from wanted ones; the search for victims copied lists and went on where the remaining models could not free enough. Change: metrics loads_total and cold_load_limit, the field background of 'load decided', scenarios for a new leader; evacuated servers get no loads; victims are searched with a bound on what is left.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -44,6 +44,7 @@
 import { HOST_KIND } from './group.js';
 import { createHandlers } from './handlers.js';
 import { createFleetLimits } from './limits.js';
+import { createLoadMetrics } from './load-metrics.js';
 import {
   MESSAGE,
   type AdapterMessage,
@@ -353,6 +354,7 @@
     eras,
     isFirstStart: options.isFirstStart,
     sharesCapacity: options.sharesCapacity ?? false,
+    ...(options.sharesCapacity ? createLoadMetrics(options.metrics) : {}),
     reachesServers: options.reachesServers,
     canOthersReachStore: () => gossip.canOthersReachStore(),
     contentionRank: () => fleet.contentionRank(),
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -12,6 +12,7 @@
   type DemandTracker,
   type EngineControl,
   type Outlook,
+  type PlannedLoad,
 } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import {
@@ -66,6 +67,8 @@
   readonly isLimited?: (server: string) => boolean;
   /** Whether loads share the weight store adaptively and idle capacity is used; false by default. */
   readonly sharesCapacity?: boolean;
+  /** Called for each load that this host decides. */
+  readonly onLoadDecided?: (load: PlannedLoad) => void;
   /** Called when the learnt number of concurrent cold loads has changed. */
   readonly onColdLoadLimit?: (limit: number) => void;
   /** Rank of this host among the contenders, so that they do not all contend at once. */
@@ -101,7 +104,7 @@
   const { onOutlook, onUnloading, handoverMilliseconds, contentionRank, canOthersReachStore } =
     options;
   const { isLimited, reachesServers = () => true } = options;
-  const { sharesCapacity = false, onColdLoadLimit = () => {} } = options;
+  const { sharesCapacity = false, onColdLoadLimit = () => {}, onLoadDecided } = options;
   const { eras = createEraTracker(), isFirstStart = false } = options;
   const reports = createLeaseReports(clock);
   let lastDescribed: OrderLease | undefined;
@@ -233,6 +236,7 @@
     running: runningByModel,
     ...(isLimited ? { isLimited } : {}),
     sharesCapacity,
+    ...(onLoadDecided ? { onLoadDecided } : {}),
     learntColdLoadLimit: () => reports.newest()?.coldLoadLimit,
     onColdLoadLimit: (limit) => {
       coldLoadLimit = limit;
--- a/packages/entry/test/orders.feature
+++ b/packages/entry/test/orders.feature
@@ -38,3 +38,9 @@
       | ends            |
       | stops           |
       | loses the store |
+
+  # Guards against a leader that starts too many loads at once until it has measured them itself.
+  Scenario: The limit of concurrent cold loads is passed on
+    Given two hosts that contend for the lease for orders
+    When the second receives that a leader has learnt a limit of 3 cold loads
+    Then the second passes on a limit of 3 cold loads
--- a/packages/entry/test/orders.ts
+++ b/packages/entry/test/orders.ts
@@ -262,6 +262,21 @@
   },
 );
 
+When(
+  'the second receives that a leader has learnt a limit of {int} cold loads',
+  function receive(this: LeadershipWorld, coldLoadLimit: number) {
+    const fencing = Number.MAX_SAFE_INTEGER;
+    this.hosts[1].leadership.receiveLease('x', { fencing, over: false, coldLoadLimit });
+  },
+);
+
+Then(
+  'the second passes on a limit of {int} cold loads',
+  function check(this: LeadershipWorld, coldLoadLimit: number) {
+    assert.equal(this.hosts[1].leadership.newestLease()?.coldLoadLimit, coldLoadLimit);
+  },
+);
+
 const HOST_NAMES: Readonly<Record<string, string>> = { second: 'b', third: 'c' };
 
 /** @param which "second" or "third" host */
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -73,6 +73,8 @@
   readonly sharesCapacity?: boolean;
   /** Returns the number of concurrent cold loads that the last leader has learnt, if it is known. */
   readonly learntColdLoadLimit?: () => number | undefined;
+  /** Called for each load that is decided. */
+  readonly onLoadDecided?: (load: PlannedLoad) => void;
   /** Called when the learnt number of concurrent cold loads has changed. */
   readonly onColdLoadLimit?: (limit: number) => void;
   /** Called before the order to unload a model is sent. */
@@ -102,7 +104,7 @@
   } = options;
   const { onOutlook = () => {}, onUnloading = () => {}, isLimited = () => false } = options;
   const { sharesCapacity = false, onColdLoadLimit = () => {} } = options;
-  const { learntColdLoadLimit = () => undefined } = options;
+  const { learntColdLoadLimit = () => undefined, onLoadDecided = () => {} } = options;
   const serverStates = new Map<string, ServerState>();
   let latestServers: ServerView = new Map();
   const wantBook = createWantBook(clock);
@@ -167,7 +169,9 @@
       victims: load.victims.join(' '),
       readyMilliseconds: Math.round(load.readyMilliseconds),
       cold: load.cold,
+      ...(load.isBackground === true ? { background: true } : {}),
     });
+    onLoadDecided(load);
     if (load.cold) coldLoads.recordStart();
     modelReplacer
       .replace(state, load.victims, load.model)
--- a/packages/loading/src/evictions.ts
+++ b/packages/loading/src/evictions.ts
@@ -59,6 +59,14 @@
   readonly cost: number;
 }
 
+/** Memory in use on a server, and the models that may be evicted from it. */
+interface ServerSummary {
+  readonly usedMegabytes: number;
+  readonly candidates: readonly EvictionCandidate[];
+  /** Models that may be evicted for a load that no request waits for. */
+  readonly idleCandidates: readonly EvictionCandidate[];
+}
+
 /** Returns the memory of a model and its adapters; an unknown model counts as a full server. */
 function megabytesOf(profile: EngineProfile, { name, adapters }: PlannedModel): number {
   const model = profile.models.get(name);
@@ -72,31 +80,28 @@
   neededMegabytes: number,
   maxCost = Infinity,
 ): readonly PlannedModel[] | undefined {
+  // Memory that the candidates from each index on can free together.
+  const freeable = new Array<number>(candidates.length + 1).fill(0);
+  for (let index = candidates.length - 1; index >= 0; index -= 1)
+    freeable[index] = freeable[index + 1]! + candidates[index]!.freedMegabytes;
   let cheapestVictims: readonly PlannedModel[] | undefined;
   let lowestCost = maxCost;
-  const searchVictims = (
-    index: number,
-    chosen: readonly PlannedModel[],
-    freedMegabytes: number,
-    cost: number,
-  ) => {
+  const chosen: PlannedModel[] = [];
+  const searchVictims = (index: number, freedMegabytes: number, cost: number): void => {
     if (cost >= lowestCost) return;
     if (freedMegabytes >= neededMegabytes) {
-      cheapestVictims = chosen;
+      cheapestVictims = [...chosen];
       lowestCost = cost;
       return;
     }
-    const next = candidates[index];
-    if (!next) return;
-    searchVictims(
-      index + 1,
-      [...chosen, next.resident],
-      freedMegabytes + next.freedMegabytes,
-      cost + next.cost,
-    );
-    searchVictims(index + 1, chosen, freedMegabytes, cost);
+    if (freedMegabytes + freeable[index]! < neededMegabytes) return;
+    const next = candidates[index]!;
+    chosen.push(next.resident);
+    searchVictims(index + 1, freedMegabytes + next.freedMegabytes, cost + next.cost);
+    chosen.pop();
+    searchVictims(index + 1, freedMegabytes, cost);
   };
-  searchVictims(0, [], 0, 0);
+  searchVictims(0, 0, 0);
   return cheapestVictims;
 }
 
@@ -133,51 +138,58 @@
     );
   };
 
-  const countMissingMegabytes = (
-    { unconfirmedMegabytes }: PlannedServer,
-    models: readonly PlannedModel[],
-    model: ModelProfile,
-  ): number => {
-    const used = models.reduce((sum, resident) => sum + megabytesOf(profile, resident), 0);
-    return used + unconfirmedMegabytes + model.megabytes - profile.weightsMegabytes;
+  /** What the models of a server cost, until an eviction is planned: many wants look at each server. */
+  const summaries = new Map<readonly PlannedModel[], ServerSummary>();
+
+  const summarize = (models: readonly PlannedModel[]): ServerSummary => {
+    const known = summaries.get(models);
+    if (known) return known;
+    const toCandidate = (resident: PlannedModel, cost: number): EvictionCandidate => ({
+      resident,
+      freedMegabytes: megabytesOf(profile, resident),
+      cost,
+    });
+    const evictable = models.filter(({ recentlyLoaded }) => !recentlyLoaded);
+    const summary = {
+      usedMegabytes: models.reduce((sum, resident) => sum + megabytesOf(profile, resident), 0),
+      candidates: evictable.map((resident) =>
+        toCandidate(
+          resident,
+          loss(resident) + EVICTION_BASE_COST + (resident.running > 0 ? DRAINING_VICTIM_COST : 0),
+        ),
+      ),
+      idleCandidates: evictable
+        .filter(
+          ({ name, isUnused, running }) =>
+            isUnused !== true && running === 0 && !wantedModels.has(name),
+        )
+        .map((resident) =>
+          toCandidate(resident, isRedundant(resident.name) ? 0 : rateOf(resident.name)),
+        ),
+    };
+    summaries.set(models, summary);
+    return summary;
   };
 
   return {
     loss,
-    chooseVictims: (server, models, model) =>
-      findCheapestVictims(
-        models
-          .filter(({ recentlyLoaded }) => !recentlyLoaded)
-          .map((resident) => ({
-            resident,
-            freedMegabytes: megabytesOf(profile, resident),
-            cost:
-              loss(resident) +
-              EVICTION_BASE_COST +
-              (resident.running > 0 ? DRAINING_VICTIM_COST : 0),
-          })),
-        countMissingMegabytes(server, models, model),
-      ),
-    chooseIdleVictims: (server, models, model, requestsPerSecond) => {
-      const missing = countMissingMegabytes(server, models, model);
+    chooseVictims: ({ unconfirmedMegabytes }, models, { megabytes }) => {
+      const { usedMegabytes, candidates } = summarize(models);
+      const missing = usedMegabytes + unconfirmedMegabytes + megabytes - profile.weightsMegabytes;
+      return missing <= 0 ? [] : findCheapestVictims(candidates, missing);
+    },
+    chooseIdleVictims: ({ unconfirmedMegabytes }, models, { megabytes }, requestsPerSecond) => {
+      const { usedMegabytes, idleCandidates } = summarize(models);
+      const missing = usedMegabytes + unconfirmedMegabytes + megabytes - profile.weightsMegabytes;
       if (missing <= 0) return [];
       if (requestsPerSecond === undefined) return undefined;
       const maxLoss = requestsPerSecond * MAX_VICTIM_RATE_SHARE;
-      const candidates = models
-        .filter(
-          ({ name, recentlyLoaded, isUnused, running }) =>
-            !recentlyLoaded && isUnused !== true && running === 0 && !wantedModels.has(name),
-        )
-        .map((resident) => ({
-          resident,
-          freedMegabytes: megabytesOf(profile, resident),
-          cost: isRedundant(resident.name) ? 0 : rateOf(resident.name),
-        }))
-        .filter(({ cost }) => cost <= maxLoss);
+      const candidates = idleCandidates.filter(({ cost }) => cost <= maxLoss);
       return findCheapestVictims(candidates, missing, maxLoss + Number.EPSILON);
     },
     recordEviction: (name) => {
       replicaCounts.set(name, (replicaCounts.get(name) ?? 1) - 1);
+      summaries.clear();
     },
   };
 }
--- a/packages/loading/src/plan-input.ts
+++ b/packages/loading/src/plan-input.ts
@@ -115,6 +115,8 @@
    * plan, and the load does not wait for the weight store.
    */
   readonly startsNow: boolean;
+  /** Whether no request waits for it: it uses what is idle. */
+  readonly isBackground?: boolean;
 }
 
 /** Estimate of when a model that requests wait for will be ready. */
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -233,7 +233,7 @@
       return [{ server, victims, readyMilliseconds, cold, waitsForWeightStore: false, cost }];
     });
     const best = findCheapest(candidates);
-    return best ? [reserveServer(best, model)] : [];
+    return best ? [{ ...reserveServer(best, model), isBackground: true }] : [];
   };
 
   const tasks = [
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -1,5 +1,5 @@
 /** Plans the loads of one service from the state of its servers. */
-import type { EngineProfile } from '@bulrushspar/catalogue';
+import type { EngineProfile, ServerEntry } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
 import type { Logger } from '@bulrushspar/logging';
 import { findBackgroundNeeds } from './background.js';
@@ -62,6 +62,9 @@
 /** A model requested within this time is loaded elsewhere when its last server leaves. */
 const RECENT_REQUEST_MILLISECONDS = 30_000;
 
+/** Whether a server gets no loads, since it leaves or nothing may be sent to it. */
+const isGoing = ({ leaving, evacuated }: ServerEntry): boolean => leaving || evacuated === true;
+
 /** State of a service during one plan. */
 interface ServiceView {
   readonly engine: EngineProfile;
@@ -83,7 +86,7 @@
   const viewService = (service: string): ServiceView => {
     const engine = profile(service)!;
     const remainingServers = [...servers.values()].filter(
-      ({ entry }) => entry.service === service && !entry.leaving,
+      ({ entry }) => entry.service === service && !isGoing(entry),
     );
     const unlimitedServers = remainingServers.filter(({ entry }) => !isLimited(entry.id));
     const availableServers = unlimitedServers.length > 0 ? unlimitedServers : remainingServers;
@@ -141,11 +144,11 @@
         ),
     );
 
-  /** Models that only servers that are leaving hold, and that have had requests recently. */
+  /** Models of servers that leave or are evacuated, if they have had requests recently. */
   const findLeavingModels = (service: string): ReadonlySet<string> =>
     new Set(
       [...servers.values()]
-        .filter(({ entry }) => entry.service === service && entry.leaving)
+        .filter(({ entry }) => entry.service === service && isGoing(entry))
         .flatMap(({ models }) => [...models.keys()])
         .filter((model) => demand.idleMilliseconds(model) < RECENT_REQUEST_MILLISECONDS),
     );
--- a/packages/loading/test/contention.feature
+++ b/packages/loading/test/contention.feature
@@ -102,3 +102,17 @@
     And models "held1 held2 held3 held4 held5 held6 absent1 absent2 absent3 absent4" are asked for every 3 s by callers with 5 s, for 30 s
     Then at most 2 models have been evicted
     And no order exceeded a server's memory
+
+  # Guards against a leader that knows neither what was asked of other hosts nor how fast the loads are.
+  Scenario: The leader changes
+    Given a weight store that serves 2 loads at once
+    And 12 servers with 3 models each and 6 absent models, with shared capacity
+    And another host is the leader and has learnt a limit of 2
+    When models "absent1 absent2 absent3 absent4" are each asked for once by a caller with 5 s, and 6 s pass
+    Then 0 loads have been decided
+    When this host takes the lease
+    And no request comes for 1 s
+    Then 2 loads have been decided
+    When no request comes for 20 s
+    Then models "absent1 absent2 absent3 absent4" are held
+    And at most 2 loads from the weight store ran at once
--- a/packages/loading/test/contention.ts
+++ b/packages/loading/test/contention.ts
@@ -162,6 +162,21 @@
   },
 );
 
+Given(
+  'another host is the leader and has learnt a limit of {int}',
+  function loseLease(this: ContentionWorld, limit: number) {
+    Object.assign(this.simulation, { holdsLease: false, formerLimit: limit });
+  },
+);
+
+When('this host takes the lease', function takeLease(this: ContentionWorld) {
+  this.simulation.holdsLease = true;
+});
+
+Then(/^(\d+) loads have been decided$/, function check(this: ContentionWorld, count: string) {
+  assert.equal(this.simulation.coldStarts.length, Number(count));
+});
+
 When('no request comes for {int} s', async function idle(this: ContentionWorld, seconds: number) {
   await play(this.simulation, this.capacity, seconds);
 });
--- a/packages/loading/test/simulation.ts
+++ b/packages/loading/test/simulation.ts
@@ -42,6 +42,10 @@
   /** When callers were first told that a model would be ready, and for when. */
   told: Map<string, { readonly at: number; readonly readyAt: number }>;
   overfull: number;
+  /** Whether the host of the coordinator holds the lease for orders. */
+  holdsLease: boolean;
+  /** Limit of concurrent cold loads that the former leader has learnt. */
+  formerLimit: number | undefined;
 }
 
 const COLD_MILLISECONDS = 7800;
@@ -132,6 +136,8 @@
     loadedAt: new Map(),
     told: new Map(),
     overfull: 0,
+    holdsLease: true,
+    formerLimit: undefined,
   } as unknown as Simulation;
   simulation.coordinator = createLoadCoordinator({
     clock,
@@ -165,8 +171,9 @@
     },
     logger: silentLogger,
     holder: 'host-1',
-    leaseFencing: () => 1,
-    fencing: () => 1,
+    leaseFencing: () => (simulation.holdsLease ? 1 : undefined),
+    fencing: () => (simulation.holdsLease ? 1 : undefined),
+    learntColdLoadLimit: () => simulation.formerLimit,
     millisecondsUntilOrders: () => 0,
     profile: () => profile,
     demand,
