--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -81,7 +81,8 @@
   const { millisecondsUntilOrders, coldLoads, sharesCapacity, startLoad } = options;
   const promises = createPromises();
   const backgroundAt = new Map<string, number>();
-  let moreWanted = false;
+  /** Services of which more cold loads would have started if more might run at once. */
+  const servicesWantingMore = new Set<string>();
 
   const viewService = (service: string): ServiceView => {
     const engine = profile(service)!;
@@ -240,10 +241,13 @@
     const started = loads.filter(({ startsNow }) => startsNow);
     started.forEach(startLoad);
     const isFull = (limits.coldPlaces ?? []).every((at) => at > 0);
-    moreWanted =
-      loads.some(({ cold, startsNow }) => cold && !startsNow) ||
-      (isFull && (shared?.background ?? []).some((need) => need.requestsPerSecond !== undefined)) ||
-      (isFull && moreWanted && shared?.background.length === 0);
+    const background = shared?.background ?? [];
+    const isDemanded = background.some((need) => need.requestsPerSecond !== undefined);
+    const isQueued = loads.some(({ cold, startsNow }) => cold && !startsNow);
+    // Plans without background needs tell nothing about them.
+    const wasDemanded = servicesWantingMore.has(service) && background.length === 0;
+    if (isQueued || (isFull && (isDemanded || wasDemanded))) servicesWantingMore.add(service);
+    else servicesWantingMore.delete(service);
     // A load that starts replaces the late one that was planned for the same model.
     const loadByModel = new Map(
       [...loads.filter(({ startsNow }) => !startsNow), ...started].map((load) => [
@@ -263,6 +267,6 @@
     recordTold: (outlook) => {
       if (sharesCapacity) promises.record(outlook, clock.monotonic());
     },
-    isMoreWanted: () => moreWanted,
+    isMoreWanted: () => servicesWantingMore.size > 0,
   };
 }
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -105,3 +105,4 @@
 
   Scenario: Any sequence of wants, lost and late answers, restarts and changes of the lease
     Then 400 generated sequences of events never exceed the server's capacity
+    And 400 generated sequences of events, with shared capacity, never exceed the server's capacity
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -24,6 +24,7 @@
   coordinator: LoadCoordinator;
   limitedServers: ReadonlySet<string> | undefined;
   holdsLease: boolean;
+  sharesCapacity: boolean | undefined;
 }
 
 /** A fake server whose orders, reports and entries behave like those of the real engines. */
@@ -244,6 +245,7 @@
     demand: createDemandTracker({ clock }),
     running: () => new Map(),
     isLimited: (server) => world.limitedServers?.has(server) ?? false,
+    sharesCapacity: world.sharesCapacity ?? false,
   });
   coordinator.setServers(serverEntries(world));
   Object.assign(world, { coordinator });
@@ -462,13 +464,15 @@
 }
 
 Then(
-  "{int} generated sequences of events never exceed the server's capacity",
+  /^(\d+) generated sequences of events(, with shared capacity,)? never exceed the server's capacity$/,
   { timeout: 120_000 },
-  async (numRuns: number) => {
+  async (count: string, shared: string | null) => {
+    const numRuns = Number(count);
+    const sharesCapacity = Boolean(shared);
     const property = fc.asyncProperty(generatedPlan, async (plan) => {
       const clock = createManualClock();
       const fakeEngine = createFakeEngine(clock, 's1');
-      const world = { clock, fakeEngine, holdsLease: true } as CoordinatorWorld;
+      const world = { clock, fakeEngine, holdsLease: true, sharesCapacity } as CoordinatorWorld;
       startCoordinator(world);
       for (const [event, pauseMilliseconds] of plan) {
         performEvent(world, event);
--- a/packages/loading/test/contention.feature
+++ b/packages/loading/test/contention.feature
@@ -9,7 +9,7 @@
     And 42 servers with 3 models each and 40 absent models, <mode> shared capacity
     When each absent model is asked for every 6 s for 50 s
     Then <served> absent models have been served
-    And no order exceeded a server's memory
+    And no order exceeded a server's memory or the rate of cold loads
 
     Examples:
       | capacity | mode    | served      |
@@ -25,7 +25,7 @@
     And 42 servers of <memory> GB with 195 models of 16 to 73 GB, the first loaded, <mode> shared capacity
     When <rate> requests per second come for 50 s, by a skewed distribution
     Then <served> absent models have been served
-    And no order exceeded a server's memory
+    And no order exceeded a server's memory or the rate of cold loads
 
     Examples:
       | memory | rate | mode    | served       |
@@ -48,6 +48,13 @@
       | without | 4    |
       | with    | 6    |
 
+  # Guards against callers that are held although they cannot be served, or that all return at once.
+  Scenario: Callers without time for a load are refused at once and told when to come back
+    Given a weight store that serves 4 loads at once
+    And 12 servers with 3 models each and 10 absent models, with shared capacity
+    When models "absent1 absent1 absent1" are each asked for once by a caller with 5 s, and 1 s pass
+    Then callers were refused within 200 ms and told 7.8 to 8.7 s, not all the same
+
   # Guards against plans that let later requests overtake those whose callers were told a time. In the
   # first seconds the limit grows until loads are slow, so that some of them take longer than was told.
   Scenario: Told times are kept while other models are asked for
@@ -101,7 +108,7 @@
     When models "held1 held2 held3 held4 held5 held6" are asked for every 3 s by callers with 5 s, for 9 s
     And models "held1 held2 held3 held4 held5 held6 absent1 absent2 absent3 absent4" are asked for every 3 s by callers with 5 s, for 30 s
     Then at most 2 models have been evicted
-    And no order exceeded a server's memory
+    And no order exceeded a server's memory or the rate of cold loads
 
   # Guards against a leader that knows neither what was asked of other hosts nor how fast the loads are.
   Scenario: The leader changes
--- a/packages/loading/test/contention.ts
+++ b/packages/loading/test/contention.ts
@@ -177,6 +177,18 @@
   assert.equal(this.simulation.coldStarts.length, Number(count));
 });
 
+Then(
+  'callers were refused within {int} ms and told {float} to {float} s, not all the same',
+  function check(this: ContentionWorld, milliseconds: number, low: number, high: number) {
+    const { refused } = this.simulation;
+    const times = refused.map(({ readyMilliseconds = Infinity }) => readyMilliseconds);
+    assert.ok(refused.length > 1);
+    refused.forEach(({ at }) => assert.ok(at <= milliseconds, `refused at ${at} ms`));
+    times.forEach((time) => assert.ok(time >= low * 1000 && time <= high * 1000, `${time} ms`));
+    assert.equal(new Set(times).size, times.length);
+  },
+);
+
 When('no request comes for {int} s', async function idle(this: ContentionWorld, seconds: number) {
   await play(this.simulation, this.capacity, seconds);
 });
@@ -259,6 +271,15 @@
   },
 );
 
-Then("no order exceeded a server's memory", function check(this: ContentionWorld) {
-  assert.equal(this.simulation.overfull, 0);
-});
+Then(
+  "no order exceeded a server's memory or the rate of cold loads",
+  function check(this: ContentionWorld) {
+    const { overfull, coldStarts, profile } = this.simulation;
+    assert.equal(overfull, 0);
+    const maxInWindow = profile.coldLoadsPerSecond * 5 * 1.1 + 3;
+    coldStarts.forEach((start) => {
+      const count = coldStarts.filter((at) => at >= start && at < start + 5000).length;
+      assert.ok(count <= maxInWindow, `${count} cold loads in 5 s`);
+    });
+  },
+);
--- a/packages/loading/test/simulation.ts
+++ b/packages/loading/test/simulation.ts
@@ -119,7 +119,7 @@
     load: undefined,
   }));
   const profile = createProfile(megabytes, weightsMegabytes);
-  const waits = createModelWaits({ clock });
+  const waits = createModelWaits({ clock, ...(sharesCapacity ? { random: createRandom(5) } : {}) });
   const byId = (id: string): SimulatedServer => servers.find((server) => server.id === id)!;
   const simulation = {
     clock,
