Keep promises when the server of a load is lost; ignore loads that are slow alone

Cause: a promise ended with the start of its load, so that a load whose server was lost went to the end of the queue; a single load on a slow server lowered the limit to 1. Change: promises end when the model is loaded; loads that mostly ran alone tell nothing about the weight store; at a limit of 1 another load is tried after 15 s.

--- a/packages/loading/src/concurrency.ts
+++ b/packages/loading/src/concurrency.ts
@@ -58,6 +58,10 @@
 const TOLERATED_FACTOR = 1.1;
 /** Time without a slow load after which one more concurrent load is tried. */
 const PROBE_MILLISECONDS = 60_000;
+/** The same at a limit of 1: no known weight store serves fewer than 2, so that it is hardly right. */
+const PROBE_FROM_ONE_MILLISECONDS = 15_000;
+/** Least average concurrency at which a slow load tells about the store; alone, its server is slow. */
+const MIN_SHARED_CONCURRENCY = 1.5;
 /**
  * Growth of the limit while no load has been slow. With 2, the loads that show that the limit is too high
  * take twice their time, which is more than callers wait.
@@ -137,6 +141,9 @@
 
   const limit = (): number => Math.max(1, Math.floor(capacity + 1 - ROUND_UP_FROM));
 
+  const probeMilliseconds = (): number =>
+    limit() === 1 ? PROBE_FROM_ONE_MILLISECONDS : PROBE_MILLISECONDS;
+
   const setCapacity = (value: number, now: number): void => {
     if (value === capacity) return;
     const before = limit();
@@ -159,10 +166,11 @@
     if (!isMoreWanted || load.startedAt < changedAt || concurrency < limit() * USED_FRACTION)
       return;
     if (slowAt === undefined) setCapacity(Math.ceil(limit() * GROWTH_FACTOR), now);
-    else if (now - slowAt > PROBE_MILLISECONDS) setCapacity(limit() + 1, now);
+    else if (now - slowAt > probeMilliseconds()) setCapacity(limit() + 1, now);
   };
 
   const recordSlowLoad = (load: LoadRecord, estimate: number, now: number): void => {
+    if (averageConcurrency(load) < MIN_SHARED_CONCURRENCY) return;
     const punctualConcurrency = provenSince(load.startedAt);
     if (punctualConcurrency >= averageConcurrency(load)) return;
     slowAt = now;
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -194,11 +194,12 @@
     });
   };
 
-  const isPromiseOpen = ({ engine, isMissing }: ServiceView, wants: readonly Want[]) => {
+  /** A promise stays open during the load, as the server of the load may be lost. */
+  const isPromiseOpen = ({ engine, isResident }: ServiceView, wants: readonly Want[]) => {
     const waitedModels = new Set(wants.map(({ model }) => model));
     return (model: string): boolean =>
       !engine.models.has(model) ||
-      (isMissing(model) &&
+      (!isResident(model) &&
         (waitedModels.has(model) || demand.idleMilliseconds(model) < PROMISE_KEPT_MILLISECONDS));
   };
 
--- a/packages/loading/test/concurrency.feature
+++ b/packages/loading/test/concurrency.feature
@@ -37,3 +37,9 @@
     Given a weight store with room for 4 loads at full speed
     When 4 loads of 8 s begin at once, 1 of them on a slow server, and 17 s pass
     Then the limit is 4 to 8
+
+  # Guards against one slow server that leaves the weight store unused.
+  Scenario: The only load is slow
+    Given a weight store with room for 4 loads at full speed
+    When 1 loads of 8 s begin at once, 1 of them on a slow server, and 17 s pass
+    Then the limit is 4
