--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -78,7 +78,8 @@
   const { millisecondsUntilOrders, coldLoads, sharesCapacity, startLoad } = options;
   const promises = createPromises();
   const backgroundAt = new Map<string, number>();
-  let moreWanted = false;
+  /** Services of which more cold loads would have started if more might run at once. */
+  const servicesWantingMore = new Set<string>();
 
   const viewService = (service: string): ServiceView => {
     const engine = profile(service)!;
@@ -190,11 +191,12 @@
     });
   };
 
-  const isPromiseOpen = ({ engine, isMissing }: ServiceView, wants: readonly Want[]) => {
+  /** A promise stays open during the load, as the server of the load may be lost. */
+  const isPromiseOpen = ({ engine, isResident }: ServiceView, wants: readonly Want[]) => {
     const waitedModels = new Set(wants.map(({ model }) => model));
     return (model: string): boolean =>
       !engine.models.has(model) ||
-      (isMissing(model) &&
+      (!isResident(model) &&
         (waitedModels.has(model) || demand.idleMilliseconds(model) < PROMISE_KEPT_MILLISECONDS));
   };
 
@@ -237,10 +239,13 @@
     const started = loads.filter(({ startsNow }) => startsNow);
     started.forEach(startLoad);
     const isFull = (limits.coldPlaces ?? []).every((at) => at > 0);
-    moreWanted =
-      loads.some(({ cold, startsNow }) => cold && !startsNow) ||
-      (isFull && (shared?.background ?? []).some((need) => need.requestsPerSecond !== undefined)) ||
-      (isFull && moreWanted && shared?.background.length === 0);
+    const background = shared?.background ?? [];
+    const isDemanded = background.some((need) => need.requestsPerSecond !== undefined);
+    const isQueued = loads.some(({ cold, startsNow }) => cold && !startsNow);
+    // Plans without background needs tell nothing about them.
+    const wasDemanded = servicesWantingMore.has(service) && background.length === 0;
+    if (isQueued || (isFull && (isDemanded || wasDemanded))) servicesWantingMore.add(service);
+    else servicesWantingMore.delete(service);
     // A load that starts replaces the late one that was planned for the same model.
     const loadByModel = new Map(
       [...loads.filter(({ startsNow }) => !startsNow), ...started].map((load) => [
@@ -260,6 +265,6 @@
     recordTold: (outlook) => {
       if (sharesCapacity) promises.record(outlook, clock.monotonic());
     },
-    isMoreWanted: () => moreWanted,
+    isMoreWanted: () => servicesWantingMore.size > 0,
   };
 }
