--- a/packages/admission/test/admission.feature
+++ b/packages/admission/test/admission.feature
@@ -49,6 +49,17 @@
     And at least 0.8 of class "patient" are answered
     And in any two seconds class "interactive" is not served less often than class "patient"
 
+  # Guards against a shortage at the servers of one model that delays the requests for all others.
+  Scenario: The only server of a model that is asked for most is full, while others have room
+    Given 90 hosts and 12 servers with 12 slots
+    And 40 models are on 1 of the servers each
+    And 150 requests a second of class "interactive"
+    And 100 requests a second of class "patient"
+    When they serve for 5 s
+    Then class "interactive" is in time at most 0.03 less often than without a queue
+    And class "patient" is in time at most 0.01 less often than without a queue
+    And none of class "interactive" is refused
+
   # Guards against one workspace that takes the place of all others.
   Scenario: The flood of one workspace leaves the others their share
     Given 1 hosts and 1 servers with 24 slots
--- a/packages/admission/test/admission.ts
+++ b/packages/admission/test/admission.ts
@@ -73,6 +73,13 @@
   Object.assign(this.options, { parts });
 });
 
+Given(
+  '{int} models are on {int} of the servers each',
+  function hold(this: AdmissionWorld, count: number, holders: number) {
+    Object.assign(this.options, { models: { count, holders } });
+  },
+);
+
 Given(
   'the servers stop from {int} s to {int} s',
   function stop(this: AdmissionWorld, from: number, to: number) {
--- a/packages/admission/test/fleet.ts
+++ b/packages/admission/test/fleet.ts
@@ -43,6 +43,8 @@
   /** Number of parts of the fleet that do not hear of each other; `hosts` if no host hears anything. */
   readonly parts?: number;
   readonly reportsLoad?: boolean;
+  /** Number of models, and of the servers that hold each; requests ask for low numbers most. */
+  readonly models?: { readonly count: number; readonly holders: number };
 }
 
 /** What became of a request. */
@@ -109,6 +111,8 @@
 const WARM_UP_MILLISECONDS = 1000;
 const MAX_SENDS = 5;
 const SERVICE = 'llm';
+/** Distance between the first holders of two models; it shares no factor with the number of servers. */
+const MODEL_STEP = 5;
 
 const RANDOM_FACTOR = 16_807;
 const RANDOM_MODULUS = 2_147_483_647;
@@ -177,6 +181,18 @@
 
   const partOf = (index: number): number => index % parts;
 
+  /** Servers that hold a model; all if the name is empty. */
+  const holdersOf = (model: string): readonly string[] => {
+    if (model === '' || !options.models) return ids;
+    const first = Number(model) * MODEL_STEP;
+    return Array.from(
+      { length: options.models.holders },
+      (_none, index) => ids[(first + index) % serverCount]!,
+    );
+  };
+  const drawModel = (draw: () => number): string =>
+    options.models ? String(Math.floor(draw() ** 2 * options.models.count)) : '';
+
   const createHost = (index: number): SimulatedHost => {
     const heardHosts = Array.from({ length: hostCount }, (_none, other) => other).filter(
       (other) => partOf(other) === partOf(index),
@@ -193,7 +209,7 @@
         random,
         fleet: () => ({ hosts: hostCount, linkedFraction: heardHosts / hostCount }),
         waitingElsewhere: () => host.heard.waiting,
-        listServers: () => ids,
+        listServers: ({ model }) => holdersOf(model),
       }),
     };
     return host;
@@ -221,8 +237,9 @@
   };
   hosts.forEach((host) => clock.after(random() * GOSSIP_MILLISECONDS, () => exchange(host)));
 
-  const describeServers = (host: SimulatedHost): readonly ServerView[] =>
-    ids.map((id, index) => {
+  const describeServers = (host: SimulatedHost, model: string): readonly ServerView[] =>
+    holdersOf(model).map((id) => {
+      const index = ids.indexOf(id);
       const report = host.reports[index];
       return {
         id,
@@ -235,10 +252,12 @@
       };
     });
 
-  const selectLeast = (host: SimulatedHost, isAllowed: (id: string) => boolean) => {
+  const selectLeast = (host: SimulatedHost, model: string, isAllowed: (id: string) => boolean) => {
     const loadOf = (index: number): number =>
       host.outstanding[index]! + host.heard.running[index]! + random();
-    const allowed = ids.map((_id, index) => index).filter((index) => isAllowed(ids[index]!));
+    const allowed = holdersOf(model)
+      .filter(isAllowed)
+      .map((id) => ids.indexOf(id));
     const free = allowed.filter((index) => host.avoidedUntil[index]! <= now());
     // Two random ones are compared, so that hosts with the same knowledge do not select the same one.
     const [least] = (free.length > 0 ? free : allowed)
@@ -252,7 +271,11 @@
 
   const takePlace = async (host: SimulatedHost, request: PlaceRequest): Promise<Place> => {
     if (usesQueue) return host.queue.take(request);
-    return { server: selectLeast(host, () => true), waitedMilliseconds: 0, release: () => {} };
+    return {
+      server: selectLeast(host, request.model, () => true),
+      waitedMilliseconds: 0,
+      release: () => {},
+    };
   };
 
   const send = (
@@ -280,7 +303,7 @@
       });
     });
 
-  const serve = async (host: SimulatedHost, kind: RequestClass): Promise<void> => {
+  const serve = async (host: SimulatedHost, kind: RequestClass, model: string): Promise<void> => {
     const arrivedAt = now();
     const { name, workspace = name, priority, objectiveMilliseconds, timeoutMilliseconds } = kind;
     let sentAt: number | undefined;
@@ -297,7 +320,7 @@
         // eslint-disable-next-line no-await-in-loop -- each send follows the rejection of the one before
         const place = await takePlace(at, {
           service: SERVICE,
-          model: '',
+          model,
           workspace,
           weight: 1,
           priority,
@@ -305,8 +328,8 @@
           objectiveMilliseconds,
           remainingMilliseconds,
           signal: new AbortController().signal,
-          listServers: () => describeServers(at),
-          select: (isAllowed) => selectLeast(at, isAllowed),
+          listServers: () => describeServers(at, model),
+          select: (isAllowed) => selectLeast(at, model, isAllowed),
         });
         counters.longest = Math.max(
           counters.longest,
@@ -358,7 +381,9 @@
     const arrive = (): void => {
       if (now() >= Math.min(milliseconds, kind.to ?? Infinity)) return;
       unfinished.count += 1;
-      tasks.push(serve(hosts[Math.floor(draw() * (kind.hosts ?? hostCount))]!, kind));
+      tasks.push(
+        serve(hosts[Math.floor(draw() * (kind.hosts ?? hostCount))]!, kind, drawModel(draw)),
+      );
       clock.after((-Math.log(1 - draw()) * 1000) / kind.perSecond, arrive);
     };
     clock.after(Math.max(kind.from ?? 0, draw()), arrive);
