--- a/packages/serving/src/balance.ts
+++ b/packages/serving/src/balance.ts
@@ -49,7 +49,7 @@
 }
 
 /**
- * Servers of which one is chosen; the load over 400 servers is as even with 64 of them (bench balance),
+ * Servers of which one is chosen; the load over 400 servers is nearly as even with 64 of them (docs/design/balancing.md),
  * and a choice takes a fraction of the time.
  */
 const MAX_LISTED_SERVERS = 64;
