--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -102,7 +102,8 @@
   readonly kinds: {
     readonly configuration: string;
     readonly servers: string;
-    readonly evacuations: string;
+    /** Absent if the operators of the deployment do not evacuate failure domains. */
+    readonly evacuations?: string | undefined;
   };
   /** @returns undefined if there is no valid configuration */
   readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
@@ -429,14 +430,20 @@
     batchMilliseconds: HOSTS_BATCH_MILLISECONDS,
     onView: (view) => fleet.updateHosts(view),
   });
-  const evacuationFollower = createKindFollower({
-    ...followerOptions,
-    kind: kinds.evacuations,
-    watchSeconds: EVACUATIONS_WATCH_SECONDS,
-    awaitsFirstView: awaitsHubView,
-    onView: evacuations.applyView,
-  });
-  const followers = [configurationFollower, serverFollower, hostFollower, evacuationFollower];
+  const evacuationFollowers =
+    kinds.evacuations === undefined
+      ? []
+      : [
+          createKindFollower({
+            ...followerOptions,
+            kind: kinds.evacuations,
+            watchSeconds: EVACUATIONS_WATCH_SECONDS,
+            awaitsFirstView: awaitsHubView,
+            onView: evacuations.applyView,
+          }),
+        ];
+  if (evacuationFollowers.length === 0) evacuations.applyView(new Map());
+  const followers = [configurationFollower, serverFollower, hostFollower, ...evacuationFollowers];
 
   const receiveOutlook = (outlook: readonly Outlook[]): void => waits.applyOutlook(outlook);
 
@@ -620,7 +627,7 @@
   const tasks = [
     configurationFollower.run(stopping.signal),
     serverFollower.run(stopping.signal),
-    evacuationFollower.run(stopping.signal),
+    ...evacuationFollowers.map((follower) => follower.run(stopping.signal)),
     fleet.links.open().then(() => hostFollower.run(stopping.signal)),
   ];
   const leadershipTask = leadership.run(AbortSignal.any([stopping.signal, releasing.signal]));
--- a/packages/serving/test/balance.feature
+++ b/packages/serving/test/balance.feature
@@ -16,7 +16,7 @@
   # Guards against servers that must not be chosen.
   Scenario Outline: Servers that accept nothing
     Given 4 servers with 8 slots, and capacity is shared
-    When server "s0" is <state>
+    When server "s0" becomes <state>
     Then of 400 choices at most 0 are "s0"
 
     Examples:
--- a/packages/serving/test/balance.ts
+++ b/packages/serving/test/balance.ts
@@ -86,15 +86,18 @@
   },
 );
 
-When('server {string} is {word}', function change(this: BalanceWorld, id: string, state: string) {
-  const entry = this.entries.get(id)!;
-  if (state === 'evacuated') this.entries.set(id, { ...entry, evacuated: true });
-  if (state === 'leaving') this.entries.set(id, { ...entry, leaving: true });
-  this.states.update(this.entries);
-  if (state === 'closed') this.states.close(id, 1000);
-  if (state === 'excluded') this.excluded.add(id);
-  if (state === 'avoided') this.states.avoid(this.states.get(id)!, 1000);
-});
+When(
+  'server {string} becomes {word}',
+  function change(this: BalanceWorld, id: string, state: string) {
+    const entry = this.entries.get(id)!;
+    if (state === 'evacuated') this.entries.set(id, { ...entry, evacuated: true });
+    if (state === 'leaving') this.entries.set(id, { ...entry, leaving: true });
+    this.states.update(this.entries);
+    if (state === 'closed') this.states.close(id, 1000);
+    if (state === 'excluded') this.excluded.add(id);
+    if (state === 'avoided') this.states.avoid(this.states.get(id)!, 1000);
+  },
+);
 
 When(
   'this host has sent a request of {int} tokens to {string}, which holds {int}',
