Bound the time of plans, and load models without any copy before requests come

Cause: the leader of a fleet of small hosts spent so much time on plans that it lost the lease, and the weight store was used before requests only for free memory, although a model that no server has a copy of is ten times farther away than any other. Change: plans take at most a fifth of the time; while no request has come, half of the places load models without any copy, also in place of models without requests that their server can load again by itself. A wait for a place of less than 2 ms is not logged.

--- a/packages/loading/src/background.ts
+++ b/packages/loading/src/background.ts
@@ -12,6 +12,8 @@
   readonly isMissing: (model: string) => boolean;
   /** Number of cold loads that may run concurrently. */
   readonly coldLoadLimit: number;
+  /** Whether no request has come for any model for some time. */
+  readonly isCalm: boolean;
 }
 
 /**
@@ -42,11 +44,12 @@
 
 /**
  * Finds the background loads of one plan, in the order in which they get what is idle:
- * absent models with recent requests, by requests per second of load time; models that a server with
- * free memory has on its disk or in its main memory; models that no server has.
+ * absent models with recent requests, by requests per second of load time; while no requests come, models
+ * of which no server has a copy, since these are many times farther away than all others; models that a
+ * server with free memory has on its disk or in its main memory; models that no server holds.
  */
 export function findBackgroundNeeds(input: BackgroundInput): readonly BackgroundNeed[] {
-  const { profile, servers, demand, isMissing, coldLoadLimit } = input;
+  const { profile, servers, demand, isMissing, coldLoadLimit, isCalm } = input;
   const idleServers = servers.filter(({ busyMilliseconds }) => busyMilliseconds === 0);
   if (idleServers.length === 0) return [];
   const rateOf = new Map(
@@ -89,11 +92,16 @@
 
   const maySpeculate = idleServers.length > servers.length * IDLE_SERVER_SHARE;
   const placesKept = coldLoadLimit - Math.floor(coldLoadLimit * SPECULATIVE_SHARE);
+  const copied = new Set(servers.flatMap(({ inMemory, onDisk }) => [...inMemory, ...onDisk]));
+  const uncopiedNeeds = (isCalm ? missing : [])
+    .filter((model) => !copied.has(model))
+    .slice(0, MAX_NEEDS)
+    .map((model) => ({ model, evictsCopied: true, placesKept }));
   const speculativeNeeds = (maySpeculate ? missing : [])
     .filter((model) => !nearbyModels.has(model) && hasRoom(model))
     .sort(byRate)
     .slice(0, MAX_NEEDS)
     .map((model) => ({ model, placesKept }));
 
-  return [...demandNeeds, ...refillNeeds, ...speculativeNeeds];
+  return [...demandNeeds, ...uncopiedNeeds, ...refillNeeds, ...speculativeNeeds];
 }
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -85,6 +85,11 @@
 const PLAN_INTERVAL_MILLISECONDS = 100;
 /** Minimum interval between plans; batches the wants that many hosts send. */
 const MINIMUM_PLAN_INTERVAL_MILLISECONDS = 20;
+/**
+ * Share of the time that plans may take. A leader with an eighth of a core was so far behind with its
+ * plans that it lost the lease.
+ */
+const MAX_PLAN_SHARE = 0.2;
 /** Minimum interval between outlooks; the plans in between differ little. */
 const OUTLOOK_INTERVAL_MILLISECONDS = 50;
 /** Time before the end of the handover at which the servers' reports are requested. */
@@ -112,6 +117,7 @@
   const startingLoads = new Map<string, PlannedLoad>();
   let isPlanScheduled = false;
   let lastPlanAt = -Infinity;
+  let planMilliseconds = 0;
   let lastOutlookAt = -Infinity;
   let lastFencing: number | undefined;
 
@@ -184,9 +190,7 @@
       });
   };
 
-  const plan = (): void => {
-    isPlanScheduled = false;
-    lastPlanAt = clock.monotonic();
+  const runPlan = (): void => {
     const currentFencing = leaseFencing();
     if (currentFencing !== lastFencing) {
       applyServers();
@@ -213,12 +217,25 @@
     onOutlook(outlook, wantBook.hosts());
   };
 
+  const plan = (): void => {
+    isPlanScheduled = false;
+    lastPlanAt = clock.monotonic();
+    runPlan();
+    planMilliseconds = clock.monotonic() - lastPlanAt;
+  };
+
+  /** Minimum interval between plans; a host with little processor time plans less often. */
+  const minimumPlanInterval = (): number =>
+    sharesCapacity
+      ? Math.max(MINIMUM_PLAN_INTERVAL_MILLISECONDS, planMilliseconds / MAX_PLAN_SHARE)
+      : MINIMUM_PLAN_INTERVAL_MILLISECONDS;
+
   /** Schedules a plan; changes within the minimum interval share one plan. */
   const schedulePlan = (): void => {
     if (isPlanScheduled) return;
     isPlanScheduled = true;
     const sinceLastPlan = clock.monotonic() - lastPlanAt;
-    clock.after(Math.max(0, MINIMUM_PLAN_INTERVAL_MILLISECONDS - sinceLastPlan), plan);
+    clock.after(Math.max(0, minimumPlanInterval() - sinceLastPlan), plan);
   };
 
   const ensureAdapter = async (id: string, model: string, adapter: string): Promise<boolean> => {
--- a/packages/loading/src/evictions.ts
+++ b/packages/loading/src/evictions.ts
@@ -27,6 +27,15 @@
     model: ModelProfile,
     requestsPerSecond: number | undefined,
   ): readonly PlannedModel[] | undefined;
+  /**
+   * Like {@link chooseIdleVictims}, but evicts only models without requests that the server can load
+   * again from its memory or disk, and whose only replica it is: further ones show that a model is busy.
+   */
+  chooseCopiedVictims(
+    server: PlannedServer,
+    models: readonly PlannedModel[],
+    model: ModelProfile,
+  ): readonly PlannedModel[] | undefined;
   /** Records a planned eviction, so that later ones do not count the replica. */
   recordEviction(model: string): void;
 }
@@ -187,6 +196,18 @@
       const candidates = idleCandidates.filter(({ cost }) => cost <= maxLoss);
       return findCheapestVictims(candidates, missing, maxLoss + Number.EPSILON);
     },
+    chooseCopiedVictims: ({ onDisk, inMemory, unconfirmedMegabytes }, models, { megabytes }) => {
+      const { usedMegabytes, idleCandidates } = summarize(models);
+      const missing = usedMegabytes + unconfirmedMegabytes + megabytes - profile.weightsMegabytes;
+      if (missing <= 0) return [];
+      const candidates = idleCandidates.filter(
+        ({ resident: { name } }) =>
+          rateOf(name) === 0 &&
+          replicaCounts.get(name) === 1 &&
+          (onDisk.has(name) || inMemory.has(name)),
+      );
+      return findCheapestVictims(candidates, missing);
+    },
     recordEviction: (name) => {
       replicaCounts.set(name, (replicaCounts.get(name) ?? 1) - 1);
       summaries.clear();
--- a/packages/loading/src/plan-input.ts
+++ b/packages/loading/src/plan-input.ts
@@ -47,6 +47,8 @@
   readonly model: string;
   /** Expected requests, which decide what may be evicted; if undefined, nothing may. */
   readonly requestsPerSecond?: number;
+  /** Whether models without requests may be evicted that their server can load again itself. */
+  readonly evictsCopied?: boolean;
   /** Number of places at the weight store that it leaves free; infinite to load no cold weights. */
   readonly placesKept: number;
 }
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -222,7 +222,10 @@
       if (hasPlannedLoad || busyMilliseconds > 0) return [];
       const { loadMilliseconds, cold } = estimateLoad(server, model, input.coldSlowdown);
       if ((cold && !mayLoadCold) || models.some(({ name }) => name === model.name)) return [];
-      const victims = costs.chooseIdleVictims(server, models, model, need.requestsPerSecond);
+      const victims =
+        need.evictsCopied === true
+          ? costs.chooseCopiedVictims(server, models, model)
+          : costs.chooseIdleVictims(server, models, model, need.requestsPerSecond);
       if (!victims) return [];
       const readyMilliseconds = victims.length * UNLOAD_MILLISECONDS + loadMilliseconds;
       const lost = victims.reduce((sum, victim) => sum + costs.loss(victim), 0);
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -62,6 +62,12 @@
 /** A model requested within this time is loaded elsewhere when its last server leaves. */
 const RECENT_REQUEST_MILLISECONDS = 30_000;
 
+/**
+ * Time without a request after which a service counts as calm. Hosts that were restarted while requests
+ * come hear of them within half of it.
+ */
+const CALM_MILLISECONDS = 1000;
+
 /** State of a service during one plan. */
 interface ServiceView {
   readonly engine: EngineProfile;
@@ -78,6 +84,8 @@
   const { millisecondsUntilOrders, coldLoads, sharesCapacity, startLoad } = options;
   const promises = createPromises();
   const backgroundAt = new Map<string, number>();
+  /** Since when no request has come, by service; Infinity once one has. */
+  const calmSince = new Map<string, number>();
   /** Services of which more cold loads would have started if more might run at once. */
   const servicesWantingMore = new Set<string>();
 
@@ -172,6 +180,16 @@
     });
   };
 
+  /** Whether no request for a model of a service has come since this host has planned its loads. */
+  const isCalm = (service: string, engine: EngineProfile): boolean => {
+    const now = clock.monotonic();
+    const hasDemand = [...engine.models.keys()].some(
+      (model) => demand.idleMilliseconds(model) !== Infinity,
+    );
+    if (hasDemand || !calmSince.has(service)) calmSince.set(service, hasDemand ? Infinity : now);
+    return now - calmSince.get(service)! > CALM_MILLISECONDS;
+  };
+
   /** Finds the loads that no request waits for; they are due less often than plans. */
   const findBackground = (
     service: string,
@@ -188,6 +206,7 @@
       demand,
       isMissing,
       coldLoadLimit,
+      isCalm: isCalm(service, engine),
     });
   };
 
--- a/packages/serving/src/places.ts
+++ b/packages/serving/src/places.ts
@@ -39,6 +39,8 @@
   request: ActiveRequest<SomeCall>,
 ) => Promise<ServerState | undefined>;
 
+/** A shorter wait is the processor time of the decision. */
+const MIN_RECORDED_MILLISECONDS = 2;
 /** Cost of a request whose tokens are not known. */
 const UNKNOWN_TOKENS = 1;
 
@@ -126,7 +128,7 @@
 
   const recordWait = (request: ActiveRequest<SomeCall>, place: Place): void => {
     const { waitedMilliseconds, server } = place;
-    if (waitedMilliseconds === 0) return;
+    if (waitedMilliseconds < MIN_RECORDED_MILLISECONDS) return;
     metrics.placeWait.record(waitedMilliseconds);
     logger.info('wait for a place at a server', {
       request: request.call.id,
