--- a/packages/serving/src/limits.ts
+++ b/packages/serving/src/limits.ts
@@ -1,8 +1,8 @@
 /** Limits on the requests that all hosts together send to a server: named ones, and those of cold servers. */
 import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
 import { startMonotonicStopwatch, type Clock, type Stopwatch } from '@bulrushspar/clock';
-import type { ColdServers } from './cold.js';
 import { createSendSchedule, type Reservation, type ReservationRequest } from '@bulrushspar/shares';
+import type { ColdServers } from './cold.js';
 
 /** A server process, as far as its limit is concerned. */
 export type LimitedServer = Pick<ServerEntry, 'id' | 'born'>;
