Test that loads before requests leave a copy of each model

Cause: says that the feature contention passes, but its scenario "No request comes" failed: it required that 8 models be held after 40 s and that none be evicted. The scenario now requires 8 models with a copy after the same time, no more loads at once than before, and that no model without a copy be evicted.

--- a/packages/loading/test/contention.ts
+++ b/packages/loading/test/contention.ts
@@ -138,6 +138,22 @@
   },
 );
 
+Then(
+  'at most {int} models without a copy have been evicted',
+  function check(this: ContentionWorld, count: number) {
+    const { unloads, servers } = this.simulation;
+    const lost = unloads.filter((model) => servers.every(({ disk }) => !disk.has(model)));
+    assert.ok(lost.length <= count, lost.join(' '));
+  },
+);
+
+Then('{int} absent models are held or on a disk', function check(this: ContentionWorld, n: number) {
+  const { servers } = this.simulation;
+  const near = new Set(servers.flatMap(({ models, disk }) => [...models, ...disk]));
+  const absent = [...near].filter((model) => model.startsWith('absent'));
+  assert.ok(absent.length >= n, `${absent.length} are held or on a disk`);
+});
+
 Then(
   'at most {int} loads from the weight store ran at once',
   function check(this: ContentionWorld, count: number) {
