Split the reasons of refusals and reservations from the preparation of servers; try all servers for an adapter

Change: two files by responsibility; with shared capacity the adapter is asked for at each server that holds the model.

--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -14,16 +14,15 @@
 import { createPlaceTaker } from './places.js';
 import {
   createNoAdapterRefusal,
-  createNoServerRefusal,
-  createServersClosedRefusal,
-  createServersEvacuatedRefusal,
   createServersLimitedRefusal,
   createTooManyTokensRefusal,
   createVersionGoneRefusal,
   createWaitRefusal,
 } from './refusals.js';
+import { createReservationWait } from './reserve.js';
 import type { ServerState, ServerStates } from './servers.js';
 import type { StreamVersions } from './streams.js';
+import { createUnavailability } from './unavailable.js';
 import { WAIT_END, type ModelWaits } from './waits.js';
 
 /** Options of {@link createServerPreparation}. */
@@ -89,6 +88,13 @@
     return all.filter(({ entry }) => entry.softwareVersion === requiredVersion);
   };
 
+  const unavailability = createUnavailability<SomeCall>({
+    servers,
+    limits,
+    listServers,
+    isEvacuated,
+  });
+
   /** Whether the request may begin a stream that its caller can take up again at another host. */
   const beginsStream = ({
     admitted: { route },
@@ -111,13 +117,6 @@
     );
   };
 
-  /** Throws if all servers that could ever run the request are evacuated. */
-  const requireServerInUse = (request: ActiveRequest<SomeCall>): void => {
-    const listed = listServers(request);
-    if (listed.length > 0 && listed.every(({ entry }) => isEvacuated(entry)))
-      throw createServersEvacuatedRefusal(request.admitted.service);
-  };
-
   const selectFrom = (
     candidates: readonly ServerState[],
     request: ActiveRequest<SomeCall>,
@@ -154,32 +153,13 @@
     throw createTooManyTokensRefusal(service, tokens, cacheTokens);
   };
 
-  /**
-   * Returns the time until the first of the servers that could run the request has time for another one
-   * by its limit; undefined if none of them is limited.
-   */
-  const limitedMilliseconds = (request: ActiveRequest<SomeCall>): number | undefined => {
-    const { requirements } = request.call;
-    const remaining = listServers(request)
-      .filter(
-        (state) =>
-          servers.closedMilliseconds(state.entry.id) === 0 &&
-          limits.limitOf(state.entry.id) !== undefined &&
-          (requirements
-            ? servers.canServeModel(state, requirements.model)
-            : acceptsRequests(state.entry)),
-      )
-      .map(({ entry }) => limits.millisecondsUntilFree(entry.id));
-    return remaining.length > 0 ? Math.min(...remaining) : undefined;
-  };
-
   /** Waits until a server holds the request's model and has time for the request by its limit. */
   const awaitModel = async (
     request: ActiveRequest<SomeCall>,
     { model }: ModelRequirements,
   ): Promise<void> => {
     const { admitted, signal } = request;
-    requireServerInUse(request);
+    unavailability.requireServerInUse(request);
     const holders = listServers(request).filter((state) => servers.canServeModel(state, model));
     const maxMilliseconds = getMaxLimitMilliseconds(request);
     if (holders.some(({ entry }) => limits.isFreeWithin(entry.id, maxMilliseconds))) return;
@@ -189,10 +169,13 @@
       holders.length > 0 &&
       (isHeldByCold || servers.ofService(admitted.service).every(isLimited))
     )
-      throw createServersLimitedRefusal(admitted.service, limitedMilliseconds(request) ?? 0);
+      throw createServersLimitedRefusal(
+        admitted.service,
+        unavailability.limitedMilliseconds(request) ?? 0,
+      );
     // Loads are not planned by version, so that a wait might never end.
     if (request.requiredVersion !== undefined) {
-      const limited = limitedMilliseconds(request);
+      const limited = unavailability.limitedMilliseconds(request);
       if (limited !== undefined) throw createServersLimitedRefusal(admitted.service, limited);
       const { listed } = streams.describeVersions(admitted.service);
       logger.info('version of a stream is gone', {
@@ -242,23 +225,6 @@
     return true;
   };
 
-  /**
-   * Returns the time until the first of the servers that could run the request accepts it again;
-   * undefined if none of them is closed to this host.
-   */
-  const closedMilliseconds = (request: ActiveRequest<SomeCall>): number | undefined => {
-    const { requirements } = request.call;
-    const remaining = listServers(request)
-      .filter((state) =>
-        requirements
-          ? servers.canServeModel(state, requirements.model)
-          : acceptsRequests(state.entry),
-      )
-      .map(({ entry }) => servers.closedMilliseconds(entry.id));
-    const earliest = Math.min(...remaining);
-    return remaining.length > 0 && earliest > 0 ? earliest : undefined;
-  };
-
   const takePlace =
     options.places &&
     createPlaceTaker<SomeCall>({
@@ -280,21 +246,27 @@
     const untried = placed ? undefined : trySelectServer(request, false);
     if (untried) return untried;
     const tried = placed ?? trySelectServer(request, true);
-    if (!tried) {
-      requireServerInUse(request);
-      const { service } = request.admitted;
-      const limited = limitedMilliseconds(request);
-      if (limited !== undefined) throw createServersLimitedRefusal(service, limited);
-      const closed = closedMilliseconds(request);
-      throw closed === undefined
-        ? createNoServerRefusal(service)
-        : createServersClosedRefusal(service, closed);
-    }
+    if (!tried) throw unavailability.createRefusal(request);
     await clock.delay(SAME_SERVER_RETRY_DELAY_MILLISECONDS);
     // The server may have closed to this host meanwhile.
     return servers.closedMilliseconds(tried.entry.id) > 0 ? selectNextServer(request) : tried;
   };
 
+  /** Selects another server that has the request's adapter, or accepts the order to load it. */
+  const selectServerForAdapter = async (
+    request: ActiveRequest<SomeCall>,
+    requirements: ModelRequirements,
+  ): Promise<ServerState> => {
+    const other = trySelectServer(request, false);
+    if (!other) throw createNoAdapterRefusal(requirements);
+    if (await prepareAdapter(other, requirements)) return other;
+    // Cold loads of many seconds keep several servers from loading adapters.
+    if (!balancing) throw createNoAdapterRefusal(requirements);
+    if (request.signal.aborted) throw request.signal.reason as Refusal;
+    request.triedServers.add(other.entry.id);
+    return selectServerForAdapter(request, requirements);
+  };
+
   const selectPreparedServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const { requirements } = request.call;
     checkSize(request);
@@ -303,43 +275,16 @@
     if (requirements && !(await prepareAdapter(state, requirements))) {
       // A server that is loading a model rejects adapter orders; another server may accept one.
       request.triedServers.add(state.entry.id);
-      const other = trySelectServer(request, false);
-      if (!other || !(await prepareAdapter(other, requirements)))
-        throw createNoAdapterRefusal(requirements);
-      return other;
+      return selectServerForAdapter(request, requirements);
     }
     if (request.signal.aborted) throw request.signal.reason as Refusal;
     return state;
   };
 
-  const waitUnlessAborted = (milliseconds: number, signal: AbortSignal): Promise<void> =>
-    new Promise((resolve) => {
-      const cancel = clock.after(milliseconds, resolve);
-      const end = (): void => {
-        cancel();
-        resolve();
-      };
-      signal.addEventListener('abort', end, { once: true });
-    });
-
-  /** Waits for the reservation of a request to a server. @returns false if the wait would be too long */
-  const awaitReservation = async (
-    request: ActiveRequest<SomeCall>,
-    state: ServerState,
-  ): Promise<boolean> => {
-    const { entry } = state;
-    if (limits.limitOf(entry.id) === undefined) return true;
-    const sinceStart = startStopwatch(clock);
-    const maxMilliseconds = getMaxLimitMilliseconds(request);
-    const { isGranted, delayMilliseconds } = await limits.reserve(entry, maxMilliseconds);
-    if (isGranted && delayMilliseconds > 0)
-      await waitUnlessAborted(delayMilliseconds, request.signal);
-    metrics.limitWait.record(sinceStart());
-    if (request.signal.aborted) throw request.signal.reason as Refusal;
-    // The place is one of a process that may have ended meanwhile.
-    const isCurrent = servers.get(entry.id) === state;
-    return isGranted && isCurrent && servers.closedMilliseconds(entry.id) === 0;
-  };
+  const awaitReservation = createReservationWait<SomeCall>({
+    ...options,
+    getMaxLimitMilliseconds,
+  });
 
   const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const state = await selectPreparedServer(request);
