--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
+import { answerBytesOfHost, createAnswerMemory } from '@bulrushspar/routing';
 import {
   createAdmission,
   createBalancing,
@@ -128,6 +129,8 @@
   readonly bounds: FleetBounds;
   /** Whether hosts order waiting requests and weigh servers by capacity and speed. */
   readonly sharesCapacity?: boolean;
+  /** Memory of the host; a fraction of it holds answers where capacity is shared. */
+  readonly memoryBytes?: number | undefined;
   /** The fleet starts for the first time. */
   readonly isFirstStart: boolean;
   readonly onConfiguration?: (configuration: FleetConfiguration) => void;
@@ -591,6 +594,16 @@
     onExpired: (name) => leadership.commander.removeHost(name),
   });
 
+  const answerMemory = createAnswerMemory(
+    options.sharesCapacity && options.memoryBytes !== undefined
+      ? { totalBytes: answerBytesOfHost(options.memoryBytes) }
+      : {},
+  );
+  options.metrics.gauge(
+    'held_answer_bytes',
+    'Bytes of answers that are incomplete or that their callers have not read.',
+    answerMemory.heldBytes,
+  );
   const serve = createRequestHandler<SomeCall>({
     clock,
     logger,
@@ -612,6 +625,8 @@
     cacheTokensOf: (service) => configuration?.services.get(service)?.engine?.cacheTokens,
     ensureAdapter,
     isEvacuated: ({ failureDomain }) => evacuations.covers(failureDomain),
+    answerMemory,
+    buffersUnread: options.sharesCapacity ?? false,
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
   });
 
--- a/packages/routing/src/buffer.ts
+++ b/packages/routing/src/buffer.ts
@@ -1,16 +1,13 @@
-/** Bounds the bytes that a host holds of answers that are not complete yet. */
-export interface AnswerMemory {
-  /** @returns whether a buffer that holds the given bytes may take further ones */
-  take(held: number, bytes: number): boolean;
-  release(bytes: number): void;
-}
+import type { AnswerMemory } from './memory.js';
 
-/** Options of {@link createAnswerMemory}. */
-export interface AnswerMemoryOptions {
-  /** Most bytes of all answers together. */
-  readonly totalBytes?: number;
-  /** Most bytes of one answer. */
-  readonly answerBytes?: number;
+/** Queue of bytes, copied into blocks. */
+export interface BlockQueue {
+  append(chunk: Buffer): void;
+  /** Removes the oldest block. */
+  shift(): Buffer | undefined;
+  bytes(): number;
+  blocks(): readonly Buffer[];
+  clear(): void;
 }
 
 /** Buffer of the body of one answer. */
@@ -22,41 +19,18 @@
   clear(): void;
 }
 
-const DEFAULT_TOTAL_BYTES = 64_000_000;
-const DEFAULT_ANSWER_BYTES = 16_000_000;
 const MAX_BLOCK_BYTES = 65_536;
 
 /**
- * Creates a bound for the answers of one host. An answer may hold at most as much as is left for all
- * others, so that large answers always leave room for small ones.
- */
-export function createAnswerMemory(options: AnswerMemoryOptions = {}): AnswerMemory {
-  const { totalBytes = DEFAULT_TOTAL_BYTES, answerBytes = DEFAULT_ANSWER_BYTES } = options;
-  let usedBytes = 0;
-  return {
-    take: (held, bytes) => {
-      const size = held + bytes;
-      if (size > answerBytes || size > totalBytes - usedBytes - bytes) return false;
-      usedBytes += bytes;
-      return true;
-    },
-    release: (bytes) => {
-      usedBytes -= bytes;
-    },
-  };
-}
-
-/**
- * Creates an empty buffer. Chunks are copied into blocks, since a chunk of one byte would keep the
- * whole buffer of the socket in memory.
+ * Creates an empty queue. Chunks are copied into blocks, since a chunk of one byte would keep the whole
+ * buffer of the socket in memory.
  */
-export function createAnswerBuffer(memory: AnswerMemory): AnswerBuffer {
+export function createBlockQueue(): BlockQueue {
   let blocks: Buffer[] = [];
   let heldBytes = 0;
   let freeBytes = 0;
   return {
     append: (chunk) => {
-      if (!memory.take(heldBytes, chunk.length)) return false;
       const fitting = Math.min(freeBytes, chunk.length);
       const last = blocks.at(-1);
       if (last && fitting > 0) chunk.copy(last, last.length - freeBytes, 0, fitting);
@@ -69,7 +43,14 @@
         freeBytes = block.length - rest;
       }
       heldBytes += chunk.length;
-      return true;
+    },
+    shift: () => {
+      const block = blocks.shift();
+      if (!block) return undefined;
+      const used = blocks.length === 0 ? block.subarray(0, block.length - freeBytes) : block;
+      if (blocks.length === 0) freeBytes = 0;
+      heldBytes -= used.length;
+      return used;
     },
     bytes: () => heldBytes,
     blocks: () => {
@@ -78,10 +59,28 @@
       return [...blocks.slice(0, -1), last.subarray(0, last.length - freeBytes)];
     },
     clear: () => {
-      memory.release(heldBytes);
       blocks = [];
       heldBytes = 0;
       freeBytes = 0;
     },
   };
 }
+
+/** Creates an empty buffer, whose bytes count in the memory of its host. */
+export function createAnswerBuffer(memory: AnswerMemory): AnswerBuffer {
+  const queue = createBlockQueue();
+  const holding = memory.open();
+  return {
+    append: (chunk) => {
+      if (!holding.resize(queue.bytes() + chunk.length)) return false;
+      queue.append(chunk);
+      return true;
+    },
+    bytes: queue.bytes,
+    blocks: queue.blocks,
+    clear: () => {
+      holding.close();
+      queue.clear();
+    },
+  };
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,10 +1,9 @@
 /** Server choice, admission queues, retries and answer relays, shared by all front ends. */
 export {
   createAnswerBuffer,
-  createAnswerMemory,
+  createBlockQueue,
   type AnswerBuffer,
-  type AnswerMemory,
-  type AnswerMemoryOptions,
+  type BlockQueue,
 } from './buffer.js';
 export { chooseServer, type ServerSelectionOptions, type Random } from './choose.js';
 export { createEventSplitter, type EventSplitter } from './events.js';
@@ -15,6 +14,13 @@
   type QueueRequest,
   type QueueSlot,
 } from './queue.js';
+export {
+  answerBytesOfHost,
+  createAnswerMemory,
+  type AnswerMemory,
+  type AnswerMemoryOptions,
+  type Holding,
+} from './memory.js';
 export {
   createContentPart,
   createPromptPartTracker,
@@ -41,3 +47,9 @@
   type SuspectTrackerOptions,
 } from './suspects.js';
 export { sendUntilAnswered, type AttemptSteps } from './tries.js';
+export {
+  createBufferingWriter,
+  type BufferingWriter,
+  type BufferingWriterOptions,
+  type MeasuredWriter,
+} from './writer.js';
--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -1,11 +1,12 @@
 import type { FlowControl } from '@bulrushspar/targets';
-import { createAnswerBuffer, createAnswerMemory, type AnswerMemory } from './buffer.js';
+import { createAnswerBuffer } from './buffer.js';
 import {
   createEventScanner,
   createEventSplitter,
   type EventScanner,
   type EventSplitter,
 } from './events.js';
+import { createAnswerMemory, type AnswerMemory } from './memory.js';
 
 /** Writes an answer to its caller. */
 export interface AnswerWriter {
@@ -85,6 +86,8 @@
   readonly lastEventId?: string;
   /** Forwards only complete events, so that the stream can resume on another server. */
   readonly resumable: boolean;
+  /** Called with the bytes of an incomplete event that are held. */
+  readonly onPending?: (bytes: number) => void;
   /** Creates the error for a stream that ended within an event or could not be resumed. */
   readonly createIncompleteError: (head: Head) => Error;
 }
@@ -127,7 +130,10 @@
       checkEnd(head, bodyBytes);
       const length = head.framed ? ['content-length', String(bodyBytes)] : [];
       writer.writeHead(head.status, [...head.headers, ...length], head.framed);
-      buffer.blocks().forEach((block) => {
+      const blocks = buffer.blocks();
+      // The writer may count the bytes itself from here on.
+      buffer.clear();
+      blocks.forEach((block) => {
         onChunk(block);
         writer.write(block);
       });
@@ -144,7 +150,7 @@
   options: StreamRelayOptions<Head>,
 ): Relay<Head> {
   const { writer, resumable, onFirstByte = () => {}, onChunk = () => {} } = options;
-  const { checkEnd = () => {} } = options;
+  const { checkEnd = () => {}, onPending = () => {} } = options;
   let lastEventId = options.lastEventId;
   let flow: FlowControl | undefined;
   let splitter: EventSplitter | undefined;
@@ -177,7 +183,9 @@
 
   const writeCompleteEvents = (chunk: Buffer): void => {
     const events = splitter!.push(chunk);
-    pendingBytes = splitter!.pendingBytes();
+    const heldBytes = splitter!.pendingBytes();
+    if (heldBytes !== pendingBytes) onPending(heldBytes);
+    pendingBytes = heldBytes;
     if (pendingBytes > MAX_EVENT_BYTES) throw options.createIncompleteError(head!);
     if (!events) return;
     lastEventId = splitter!.lastEventId() ?? lastEventId;
@@ -188,6 +196,7 @@
     openSink: () => {
       splitter = resumable ? createEventSplitter() : undefined;
       scanner = createEventScanner();
+      if (pendingBytes > 0) onPending(0);
       pendingBytes = 0;
       return {
         onHead: (answerHead, control) => {
--- a/packages/serving/src/answer.ts
+++ b/packages/serving/src/answer.ts
@@ -1,5 +1,6 @@
 import {
   createBufferedRelay,
+  createBufferingWriter,
   createStreamRelay,
   type AnswerMemory,
   type Relay,
@@ -35,6 +36,11 @@
   readonly lastEventId?: string;
   /** Bounds what the answers of all requests hold. */
   readonly memory?: AnswerMemory;
+  /**
+   * Ends the answer, whose unread bytes are needed for others. Without it unread bytes neither are held
+   * beyond the buffer of the connection nor count in the memory.
+   */
+  readonly onShortage?: ((heldBytes: number) => void) | undefined;
   /** Called when the first byte of an answer arrives. */
   readonly onFirstByte: () => void;
   /** @returns whether the request may be retried after a server error */
@@ -92,18 +98,21 @@
 
 /** Creates the relay that passes the answer to one request to its caller. */
 export function openRelay(delivery: Delivery, options: AnswerOptions): Relay<AnswerHead> {
-  const { reply: outlet, lastEventId, onFirstByte } = options;
+  const { reply, memory, onShortage, lastEventId, onFirstByte } = options;
+  const outlet =
+    memory && onShortage ? createBufferingWriter({ writer: reply, memory, onShortage }) : undefined;
   const check = (head: AnswerHead): void => validateHead(head, options);
   if (delivery === DELIVERY.WHOLE)
     return createBufferedRelay({
-      writer: outlet,
+      writer: outlet ?? reply,
       onFirstByte,
       check,
-      memory: options.memory,
+      memory,
       tooLarge: (_bytes, head) => createAnswerError(ANSWER_FAULT.TOO_LARGE, head),
     });
   return createStreamRelay({
-    writer: outlet,
+    writer: outlet ?? reply,
+    onPending: outlet?.setPendingBytes,
     onFirstByte,
     check,
     lastEventId,
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -1,5 +1,5 @@
 import type { Route, ServerEntry } from '@bulrushspar/catalogue';
-import type { AnswerWriter, AnswerSink as RelaySink, RelayedHead } from '@bulrushspar/routing';
+import type { MeasuredWriter, AnswerSink as RelaySink, RelayedHead } from '@bulrushspar/routing';
 
 /** Part of a prompt that other requests may share, so that a server can reuse its cached result. */
 export interface PromptPart {
@@ -117,7 +117,7 @@
 ) => Promise<void>;
 
 /** The connection to the caller, over which the answer or a refusal is sent. */
-export interface Reply extends AnswerWriter {
+export interface Reply extends MeasuredWriter {
   /** Aborted when the caller disconnects. */
   readonly gone: AbortSignal;
   /** Resets the connection, so that the caller can detect that the answer is incomplete. */
--- a/packages/serving/src/metrics.ts
+++ b/packages/serving/src/metrics.ts
@@ -5,6 +5,7 @@
   readonly requests: CounterMetric;
   readonly refusals: CounterMetric;
   readonly retries: CounterMetric;
+  readonly unreadEnds: CounterMetric;
   readonly firstByte: LatencyMetric;
   readonly wholeAnswer: LatencyMetric;
   readonly coldStart: LatencyMetric;
@@ -18,6 +19,10 @@
     requests: metrics.counter('requests', 'Requests admitted, by route.', ['route']),
     refusals: metrics.counter('refusals', 'Requests refused, by code.', ['code', 'status']),
     retries: metrics.counter('retries', 'Requests sent once more.'),
+    unreadEnds: metrics.counter(
+      'unread_answers_ended',
+      'Answers ended because the host held too many unread bytes.',
+    ),
     firstByte: metrics.latency('first_byte', 'Time to the first byte of an answer.'),
     wholeAnswer: metrics.latency('whole_answer', 'Time to the end of an answer.'),
     coldStart: metrics.latency('cold_start', 'Time that requests waited for a model.'),
--- a/packages/serving/src/refusals.ts
+++ b/packages/serving/src/refusals.ts
@@ -50,6 +50,15 @@
     ran: RAN.UNKNOWN,
   });
 
+/** Creates the refusal that ends an answer whose unread bytes are needed for other callers. */
+export const createUnreadRefusal = (): Refusal =>
+  createRefusal({
+    status: 502,
+    code: REFUSAL.ANSWER_CUT,
+    message: 'the answer was ended, as its unread bytes were the most that the host held',
+    ran: RAN.UNKNOWN,
+  });
+
 /** Creates the refusal of a request whose wait for a model ended before the model was ready. */
 export const createWaitRefusal = (
   { end, readyMilliseconds }: WaitResult,
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -10,13 +10,14 @@
   type Refusal,
 } from '@bulrushspar/errors';
 import type { DemandTracker } from '@bulrushspar/loading';
-import { createAnswerMemory, type AnswerMemoryOptions } from '@bulrushspar/routing';
+import { createAnswerMemory, type AnswerMemory } from '@bulrushspar/routing';
 import type { Admission, AdmittedRequest } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
 import { createAttemptRunner, type AttemptRunnerOptions, type ActiveRequest } from './attempts.js';
 import {
   createCallerGoneRefusal,
   createTargetFailedRefusal,
+  createUnreadRefusal,
   createVersionUnknownRefusal,
 } from './refusals.js';
 import type { Call, Reply } from './call.js';
@@ -30,8 +31,10 @@
   extends Omit<AttemptRunnerOptions<SomeCall>, 'crashGuard'>, CrashGuardOptions {
   readonly admission: Admission;
   readonly demand: DemandTracker;
-  /** Bounds the bytes of answers that are held until they are complete. */
-  readonly answerMemory?: AnswerMemoryOptions;
+  /** Bounds the bytes of answers that are held. */
+  readonly answerMemory?: AnswerMemory;
+  /** Whether unread bytes are held and count in the memory; false by default. */
+  readonly buffersUnread?: boolean;
 }
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -54,10 +57,10 @@
   options: RequestHandlerOptions<SomeCall>,
 ): RequestHandler<SomeCall> {
   const { clock, logger, metrics, admission, demand, streams } = options;
-  const { getStoppingRefusal, answerMemory } = options;
+  const { getStoppingRefusal, answerMemory: memory = createAnswerMemory() } = options;
+  const { buffersUnread = false } = options;
   const crashGuard = createCrashGuard(options);
   const attemptRunner = createAttemptRunner({ ...options, crashGuard });
-  const memory = createAnswerMemory(answerMemory);
 
   const refuse = (call: SomeCall, reply: Reply, error: unknown, milliseconds: number): void => {
     const { refusal, message } = isRefusal(error) ? error : createTargetFailedRefusal(error);
@@ -105,7 +108,7 @@
     const onDisconnect = (): void => controller.abort(createCallerGoneRefusal());
     reply.gone.addEventListener('abort', onDisconnect, { once: true });
     if (reply.gone.aborted) onDisconnect();
-    return { signal: controller.signal, cancel };
+    return { signal: controller.signal, abort: controller.abort.bind(controller), cancel };
   };
 
   /** Returns the software version at which a stream must go on that the caller takes up again. */
@@ -145,17 +148,30 @@
       admitted.refund();
       throw createDeadlineRefusal(RAN.NO);
     }
-    const { signal, cancel } = createDeadlineSignal(
+    const { signal, abort, cancel } = createDeadlineSignal(
       reply,
       remainingMilliseconds,
       () => request.sendCount > 0,
     );
+    const endUnread = (unreadBytes: number): void => {
+      metrics.unreadEnds.add();
+      logger.warn('answer ended that its caller reads too slowly', {
+        request: call.id,
+        unreadBytes,
+        heldBytes: memory.heldBytes(),
+        milliseconds: Math.round(elapsed()),
+      });
+      // The answer may be complete and its request at its end already.
+      abort(createUnreadRefusal());
+      if (reply.hasBegun()) reply.reset();
+    };
     let firstByteMilliseconds: number | undefined;
     const relay = openRelay(selectDelivery(route), {
       reply,
       callId: call.id,
       lastEventId: call.lastEventId,
       memory,
+      onShortage: buffersUnread ? endUnread : undefined,
       onFirstByte: () => {
         firstByteMilliseconds = Math.round(elapsed());
         metrics.firstByte.record(firstByteMilliseconds);
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -246,6 +246,8 @@
   writeHead: (status) => Object.assign(answer, { status }),
   write: () => true,
   onDrain: () => {},
+  unreadBytes: () => 0,
+  onClose: () => {},
   end: () => Object.assign(answer, { isEnded: true }),
   reset: () => Object.assign(answer, { isBroken: true }),
   refuse: (status, _message, retryAfter) =>
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -121,6 +121,8 @@
       return true;
     },
     onDrain: () => {},
+    unreadBytes: () => 0,
+    onClose: () => {},
     end: () => {
       reply.ended = true;
     },
