--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from 'node:crypto';
-import type { Socket } from 'node:net';
 import { createAdmissionQueue } from '@bulrushspar/admission';
 import {
   acceptsRequests,
@@ -7,16 +6,9 @@
   type FleetConfiguration,
   type ServerEntry,
 } from '@bulrushspar/catalogue';
-import { runPeriodically, startMonotonicStopwatch, type Clock } from '@bulrushspar/clock';
+import { runPeriodically, startMonotonicStopwatch } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
-import {
-  createDemandTracker,
-  ORDER_OUTCOME,
-  type EngineControl,
-  type Outlook,
-} from '@bulrushspar/loading';
-import type { Logger } from '@bulrushspar/logging';
-import type { Metrics } from '@bulrushspar/metrics';
+import { createDemandTracker, type Outlook } from '@bulrushspar/loading';
 import { answerBytesOfHost, createAnswerMemory } from '@bulrushspar/routing';
 import {
   createAdmission,
@@ -29,21 +21,14 @@
   createStreamVersions,
   listGroupServers,
   type Call,
-  type SendCall,
-  type RequestHandler,
   type ServerState,
   type ServerNotice,
 } from '@bulrushspar/serving';
 import { createRetryBudget, type Reservation } from '@bulrushspar/shares';
-import {
-  createEraTracker,
-  type EraTracker,
-  type Incarnation,
-  type ObjectStore,
-  type ObjectView,
-} from '@bulrushspar/store';
+import { createEraTracker, type Incarnation, type ObjectView } from '@bulrushspar/store';
+import { createPausingControl } from './control.js';
 import { createCrashWatch } from './crashes.js';
-import { createEvacuations, type Evacuation, type Evacuations } from './evacuations.js';
+import { createEvacuations, type Evacuations } from './evacuations.js';
 import { createFleet, type Fleet } from './fleet.js';
 import { createForwarding, type Forwarding } from './forward.js';
 import { createGossip } from './gossip.js';
@@ -59,105 +44,14 @@
   type UnloadingMessage,
   type WantsMessage,
 } from './messages.js';
+import type { Entry, EntryOptions } from './options.js';
 import { createOrderLeadership, type OrderLeadership } from './orders.js';
-import { createQuotas, type QuotaTolerance } from './quotas.js';
+import { createQuotas } from './quotas.js';
 import { createServerRelays } from './relays.js';
 import { createKindFollower } from './source.js';
 import { countRunningRequests } from './totals.js';
 import { createVersionsKeeper } from './versions.js';
 
-/** Location and capacity of a host, and the address at which it accepts links. */
-export interface EntryHost {
-  readonly name: string;
-  readonly failureDomain: string;
-  readonly address: string;
-  readonly port: number;
-  /** Processor capacity, in cores; hosts with the most cores become hubs and leaders. */
-  readonly cores: number;
-}
-
-/** Tolerances and limits for quotas, retries and handovers. */
-export interface FleetBounds {
-  readonly quota: QuotaTolerance;
-  /** Retries allowed per request. */
-  readonly retriesPerRequest: number;
-  /** Additional retries allowed to all hosts together in a window. */
-  readonly retrySlack: number;
-  readonly retryWindowMilliseconds: number;
-  /** Minimum time between orders of two hosts to the same server. */
-  readonly handoverMilliseconds: number;
-  /** Tolerance of the limit on the requests that a cold server receives in a second. */
-  readonly cold?: { readonly overshoot: number; readonly slack: number };
-}
-
-/** Options of {@link startEntry}. */
-export interface EntryOptions<SomeCall extends Call> {
-  readonly host: EntryHost;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly store: ObjectStore;
-  /** Era of the store, if it can be restored from an older copy. */
-  readonly eras?: EraTracker;
-  /** Kinds of the platform's objects. */
-  readonly kinds: {
-    readonly configuration: string;
-    readonly servers: string;
-    /** Absent if the operators of the deployment do not evacuate failure domains. */
-    readonly evacuations?: string | undefined;
-  };
-  /** @returns undefined if there is no valid configuration */
-  readonly decodeConfiguration: (view: ObjectView<unknown>) => FleetConfiguration | undefined;
-  /** @returns the version that the operators gave a stored configuration; 0 if it has none */
-  readonly rankConfiguration: (value: unknown) => number;
-  /** @returns undefined if the entry does not describe a usable server */
-  readonly decodeServer: (name: string, value: unknown) => ServerEntry | undefined;
-  /** Decodes an operator's request to evacuate a failure domain; it is obeyed whatever its value. */
-  readonly decodeEvacuation: (name: string, value: unknown) => Evacuation;
-  /**
-   * Creates the client for reports and orders.
-   * @param onNotice called with what a server tells about itself
-   */
-  readonly createEngineControl: (
-    onNotice: (server: ServerEntry, notice: ServerNotice) => void,
-  ) => EngineControl;
-  readonly send: SendCall<SomeCall>;
-  /** Opens a connection to a server from this host itself. */
-  readonly openDirect: (address: string, signal: AbortSignal) => Promise<Socket>;
-  /** Whether this host reaches servers itself, as far as it knows. */
-  readonly reachesServers: () => boolean;
-  readonly bounds: FleetBounds;
-  /** Whether hosts order waiting requests and weigh servers by capacity and speed. */
-  readonly sharesCapacity?: boolean;
-  /** Memory of the host; a fraction of it holds answers where capacity is shared. */
-  readonly memoryBytes?: number | undefined;
-  /** The fleet starts for the first time. */
-  readonly isFirstStart: boolean;
-  readonly onConfiguration?: (configuration: FleetConfiguration) => void;
-  readonly onServers?: (servers: ReadonlyMap<string, ServerEntry>) => void;
-  readonly random?: () => number;
-}
-
-/** Running entry host of a fleet. */
-export interface Entry<SomeCall extends Call> {
-  readonly serve: RequestHandler<SomeCall>;
-  /** Opens a connection to a server through another host. */
-  openThroughHost(address: string, signal: AbortSignal): Promise<Socket>;
-  /** @returns the connections to servers that this host passes on for other hosts */
-  countRelayed(): number;
-  /** Resets the connections that this host passes on, as it ends before they do. */
-  resetRelayed(): void;
-  /** Whether nothing may be sent to the server at an address, because of an evacuation. */
-  isEvacuated(address: string): boolean;
-  /** Whether the host has a configuration and accepts new requests. */
-  isReady(): boolean;
-  /** Refuses new requests from now on. */
-  refuseNewRequests(): void;
-  /** Releases the lease for orders, so that another host takes it over. */
-  releaseOrderLease(): Promise<void>;
-  stop(): Promise<void>;
-}
-
 /** Interval of the state messages to other hosts. */
 const STATE_INTERVAL_MILLISECONDS = 200;
 /** Interval of the reports to the leader on the models that requests wait for. */
@@ -349,24 +243,12 @@
     servers.close(id, closedMilliseconds);
   };
 
-  /** Sends reports and orders, except to servers that must receive nothing from this host. */
-  const engineControl: EngineControl = options.createEngineControl(applyNotice);
-  const pausingControl: EngineControl = {
-    report: async (server) => {
-      if (servers.closedMilliseconds(server.id) > 0)
-        throw new Error(`server ${server.id} accepts nothing from this host for a time`);
-      if (evacuations.covers(server.failureDomain))
-        throw new Error(`server ${server.id} is in an evacuated failure domain`);
-      charge(server);
-      return engineControl.report(server);
-    },
-    order: async (server, order) => {
-      if (servers.closedMilliseconds(server.id) > 0) return ORDER_OUTCOME.REJECTED;
-      if (evacuations.covers(server.failureDomain)) return ORDER_OUTCOME.REJECTED;
-      charge(server);
-      return engineControl.order(server, order);
-    },
-  };
+  const pausingControl = createPausingControl({
+    control: options.createEngineControl(applyNotice),
+    closedMilliseconds: servers.closedMilliseconds,
+    isEvacuated: ({ failureDomain }) => evacuations.covers(failureDomain),
+    charge,
+  });
 
   const applyConfiguration = (view: ObjectView<unknown>): void => {
     if (!evacuations.isKnown()) {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,11 +1,7 @@
 /** Entry host of a fleet: connects peer links, quotas, model loading and request serving. */
-export {
-  startEntry,
-  type Entry,
-  type EntryHost,
-  type EntryOptions,
-  type FleetBounds,
-} from './entry.js';
+export { createPausingControl, type PausingControlOptions } from './control.js';
+export { startEntry } from './entry.js';
+export { type Entry, type EntryHost, type EntryOptions, type FleetBounds } from './options.js';
 export { createCrashWatch, type CrashWatchOptions } from './crashes.js';
 export {
   createEvacuations,
