--- a/packages/routing/test/readers.ts
+++ b/packages/routing/test/readers.ts
@@ -172,7 +172,7 @@
 
 Then(
   'no order of sends, reads, ends and lost callers exceeds the bound, leaks bytes or mixes them',
-  function run() {
+  () => {
     const event = fc.record({
       stream: fc.nat(7),
       kind: fc.constantFrom('send', 'send', 'send', 'pending', 'read', 'end', 'leave', 'whole'),
