--- a/packages/admission/src/knowledge.ts
+++ b/packages/admission/src/knowledge.ts
@@ -57,7 +57,7 @@
 /** Age up to which the counts of other hosts are not read again; new ones come each 200 ms. */
 const MAX_AGE_MILLISECONDS = 50;
 
-/** Creates the knowledge of a host that has heard nothing. */
+/** Creates the knowledge of a host that has received no state of others. */
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
   const { now, line, held, mix } = options;
   let group: FleetView = { hosts: 1, linkedFraction: 1 };
--- a/packages/admission/src/room.ts
+++ b/packages/admission/src/room.ts
@@ -22,7 +22,7 @@
   readonly isBrittle: boolean;
 }
 
-/** The other hosts, as far as this one hears of them. */
+/** The other hosts, as far as their states reach this one. */
 export interface FleetView {
   /** Number of hosts, this one included. */
   readonly hosts: number;
@@ -99,11 +99,11 @@
   server.isBrittle ? server.slots : limitOf(server) * OVERFULL_FACTOR;
 
 /**
- * Estimates the requests of all hosts at a server. Hosts that are not heard of are taken to have as many
+ * Estimates the requests of all hosts at a server. Hosts whose states do not arrive are taken to have as many
  * as the others, so that each part of a partitioned fleet keeps to its share.
  */
 export function estimateRequests(server: ServerView, own: OwnUse, fleet: FleetView): number {
-  // A host that hears of no other keeps to its share; what it last heard is too old.
+  // A host without states of others keeps to its share; the last ones are too old.
   const isAlone = fleet.linkedFraction * fleet.hosts <= 1 && fleet.hosts > 1;
   const elsewhere = isAlone ? 0 : server.requestsFromOtherHosts;
   const counted = (own.requests + elsewhere) / fleet.linkedFraction;
--- a/packages/admission/test/fleet.ts
+++ b/packages/admission/test/fleet.ts
@@ -40,7 +40,7 @@
   readonly usesQueue?: boolean;
   /** When the servers run nothing, in milliseconds. */
   readonly stop?: readonly [number, number];
-  /** Number of parts of the fleet that do not hear of each other; `hosts` if no host hears anything. */
+  /** Number of parts of the fleet without states of each other; `hosts` if no host receives any. */
   readonly parts?: number;
   readonly reportsLoad?: boolean;
   /** Number of models, and of the servers that hold each; requests ask for low numbers most. */
--- a/packages/entry/test/versions-world.ts
+++ b/packages/entry/test/versions-world.ts
@@ -217,7 +217,7 @@
     host.keeper.updateServers(view);
   };
 
-  /** Each host reads the servers, or hears of them from others, and reports to the others. */
+  /** Each host reads the servers, or receives them from others, and reports to the others. */
   const step = (): void =>
     hosts.forEach((host) => {
       if (canReachStore(host)) {
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -64,7 +64,7 @@
 
 /**
  * Time without a request after which a service counts as calm. Hosts that were restarted while requests
- * come hear of them within half of it.
+ * come receive states of other hosts within half of it.
  */
 const CALM_MILLISECONDS = 1000;
 
--- a/packages/serving/src/streams.ts
+++ b/packages/serving/src/streams.ts
@@ -1,7 +1,7 @@
 /**
  * Which software version began each stream. What two versions of a service write does not fit
  * together, so that a stream goes on only at the version that began it, also when the caller takes it
- * up again at another host. A host that has not heard of a stream derives its version only if one version
+ * up again at another host. A host that has received no report of a stream derives its version only if one version
  * alone can have begun it.
  */
 import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
