--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -508,7 +508,7 @@
     ensureAdapter,
     isEvacuated: ({ failureDomain }) => evacuations.covers(failureDomain),
     answerMemory,
-    buffersUnread: options.sharesCapacity ?? false,
+    buffersUnread: options.buffersUnread ?? false,
     getStoppingRefusal: () => (isRefusing ? createStoppingRefusal() : undefined),
   });
 
--- a/packages/entry/src/options.ts
+++ b/packages/entry/src/options.ts
@@ -73,6 +73,11 @@
   readonly bounds: FleetBounds;
   /** Whether hosts order waiting requests and weigh servers by capacity and speed. */
   readonly sharesCapacity?: boolean;
+  /**
+   * Whether answers are read on and held for callers that read slowly. Off on the platform until the
+   * scenario with 500 slow callers is reliable (KNOWN-RED.txt).
+   */
+  readonly buffersUnread?: boolean;
   /** Memory of the host; a fraction of it holds answers where capacity is shared. */
   readonly memoryBytes?: number | undefined;
   /** The fleet starts for the first time. */
