Check the whole requirement of a stream whose version is unknown

Cause: when a cause was added to the requirement, the scenario's comparison with { isKnown: false } became one of isKnown alone, so that a wrong cause or a version beside it would have passed. Change: the whole object is compared, and its cause must be one of the known ones.

--- a/packages/serving/test/streams.ts
+++ b/packages/serving/test/streams.ts
@@ -3,7 +3,11 @@
 import { Before, Given, Then, When } from '@cucumber/cucumber';
 import type { ServerEntry } from '@bulrushspar/catalogue';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
-import { createStreamVersions, type StreamVersions } from '@bulrushspar/serving';
+import {
+  createStreamVersions,
+  UNKNOWN_VERSION_CAUSE,
+  type StreamVersions,
+} from '@bulrushspar/serving';
 
 interface StreamsWorld {
   clock: ManualClock;
@@ -99,7 +103,10 @@
 Then(
   'it is not known where the stream {string} goes on',
   function check(this: StreamsWorld, attempt: string) {
-    assert.equal(this.versions.requirementOf(SERVICE, attempt).isKnown, false);
+    const requirement = this.versions.requirementOf(SERVICE, attempt);
+    assert.ok(!requirement.isKnown, JSON.stringify(requirement));
+    assert.ok(Object.values(UNKNOWN_VERSION_CAUSE).includes(requirement.cause), requirement.cause);
+    assert.deepEqual(requirement, { isKnown: false, cause: requirement.cause });
   },
 );
 
