Leave out values of the store that are nested too deeply

Callers saw hosts that ended and started again: with an entry among the servers that is nested 200,000 times, three of four host processes ended (a standby watcher encodes changes in a timer, and the encoder of messages overflowed the stack), and a host that pulled the list got an error each time.

Cause: JSON.parse accepts such a value, while msgpackr, JSON.stringify and structuredClone recurse. The raw values of all objects pass through messages between hosts, whatever the decoder says of them.

Known objects are nested fewer than 10 times.

--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -55,4 +55,5 @@
   type RetriedWriteOptions,
 } from './settle.js';
 export { createStoreError, EFFECT, isStoreError, type Effect, type StoreError } from './failure.js';
+export { toReadableValue } from './values.js';
 export { createHttpWeightStore, type WeightStore, type WeightStoreStatus } from './weights.js';
--- a/packages/store/src/objects.ts
+++ b/packages/store/src/objects.ts
@@ -9,6 +9,7 @@
   type WriteAnswer,
 } from './store.js';
 import { createStoreError, EFFECT } from './failure.js';
+import { toReadableValue } from './values.js';
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -25,6 +26,11 @@
   throw createStoreError(EFFECT.NONE, `${path} of the object API answered ${answer.status}`);
 }
 
+const toReadable = <Item extends { readonly value?: unknown }>(item: Item): Item => ({
+  ...item,
+  value: toReadableValue(item.value),
+});
+
 function toWriteAnswer(answer: JsonAnswer, path: string): WriteAnswer {
   if (answer.status === CONFLICT) return { outcome: WRITE_OUTCOME.CONFLICT };
   const { version } = expectOk(answer, path) as { version: number };
@@ -41,11 +47,13 @@
       const path = objectPath(key);
       const answer = await client.call({ method: 'GET', path });
       if (answer.status === NOT_FOUND) return undefined;
-      return expectOk(answer, path) as StoredObject<Value>;
+      return toReadable(expectOk(answer, path) as StoredObject<Value>);
     },
     list: async <Value>(kind: string) => {
       const path = `/v1/objects/${encodeURIComponent(kind)}`;
-      return expectOk(await client.call({ method: 'GET', path }), path) as ObjectList<Value>;
+      const answer = await client.call({ method: 'GET', path });
+      const list = expectOk(answer, path) as ObjectList<Value>;
+      return { ...list, objects: list.objects.map(toReadable) };
     },
     write: async (key, value, expected) => {
       const path = `${objectPath(key)}?version=${expected}`;
@@ -62,7 +70,7 @@
       const answer = await client.call({ method: 'GET', path, signal, timeoutMilliseconds });
       if (answer.status === GONE) return { version: after, changes: [], expired: true };
       const body = expectOk(answer, path) as Omit<WatchAnswer<Value>, 'expired'>;
-      return { ...body, expired: false };
+      return { ...body, changes: body.changes.map(toReadable), expired: false };
     },
   };
 }
--- a/packages/store/src/settle.ts
+++ b/packages/store/src/settle.ts
@@ -64,7 +64,7 @@
 ): Promise<RetriedWriteResult | undefined> {
   try {
     const found = await options.store.read<Value>(options.key);
-    if (found && options.isOwnWrite(found.value)) {
+    if (found && found.value !== null && options.isOwnWrite(found.value)) {
       return { outcome: RETRIED_WRITE_OUTCOME.WRITTEN, version: found.version };
     }
     return { outcome: RETRIED_WRITE_OUTCOME.CONFLICT };
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -14,6 +14,7 @@
 export interface StoredObject<Value = unknown> {
   readonly name: string;
   readonly version: Version;
+  /** Null in place of a value that cannot be used. */
   readonly value: Value;
 }
 
