Take over the hosts' own records from another writer

A lease record of null, a number or without a fencing number kept every host from the lease for as long as it stood, so that no model was loaded; a secret without text kept hosts from linking; a host record with a port out of range was dialled four times a second, and one with endless cores ranked first.

Change: a lease record that cannot be read names an unknown holder: it is replaced after a term, with a fencing number above the version that it replaces, which no earlier one exceeds. The secret is replaced by a conditional write. Host records need an IP address, a port and a finite capacity.

--- a/packages/entry/src/group.ts
+++ b/packages/entry/src/group.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { isIP } from 'node:net';
 import type { Clock } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
@@ -45,6 +46,7 @@
 }
 
 const SECRET_BYTES = 32;
+const MAX_PORT = 65_535;
 const WRITE_TIMEOUT_MILLISECONDS = 2000;
 const FIRST_RETRY_DELAY_MILLISECONDS = 250;
 const MAX_RETRY_DELAY_MILLISECONDS = 1000;
@@ -72,17 +74,25 @@
   }
 }
 
+/** Reads the secret; replaces an object that another writer has left in its place and that holds none. */
+async function readOrWriteSecret(
+  { store }: RegistrationOptions,
+  createSecret: () => string,
+): Promise<string | undefined> {
+  const key = { kind: SECRET_KIND, name: 'links' };
+  const found = await store.read<Partial<Record<'secret', unknown>> | null>(key);
+  const secret = found?.value?.secret;
+  if (typeof secret === 'string' && secret !== '') return secret;
+  await store.write(key, { secret: createSecret() }, found?.version ?? ABSENT);
+  // Another host may have written it first, or the answer may be lost: the next read decides.
+  return undefined;
+}
+
 /** Reads the secret that all hosts share; creates it if there is none. */
 export function readSecret(options: RegistrationOptions): Promise<string> {
-  const { store } = options;
-  const key = { kind: SECRET_KIND, name: 'links' };
-  return retryUntilDefined(options, 'reading the secret for links', async () => {
-    const found = await store.read<{ secret: string }>(key);
-    if (found) return found.value.secret;
-    await store.write(key, { secret: randomBytes(SECRET_BYTES).toString('base64') }, ABSENT);
-    // Another host may have created it first, or the answer may be lost: the next read decides.
-    return undefined;
-  });
+  return retryUntilDefined(options, 'reading the secret for links', () =>
+    readOrWriteSecret(options, () => randomBytes(SECRET_BYTES).toString('base64')),
+  );
 }
 
 /**
@@ -90,14 +100,9 @@
  * @returns the secret that the store has now; another one if a new host was faster
  */
 export function restoreSecret(options: RegistrationOptions, secret: string): Promise<string> {
-  const { store } = options;
-  const key = { kind: SECRET_KIND, name: 'links' };
-  return retryUntilDefined(options, 'restoring the secret for links', async () => {
-    const found = await store.read<{ secret: string }>(key);
-    if (found) return found.value.secret;
-    await store.write(key, { secret }, ABSENT);
-    return undefined;
-  });
+  return retryUntilDefined(options, 'restoring the secret for links', () =>
+    readOrWriteSecret(options, () => secret),
+  );
 }
 
 /** Writes this host's record, so that the other hosts discover it. */
@@ -126,11 +131,18 @@
   });
 }
 
+const isPort = (port: unknown): port is number =>
+  Number.isInteger(port) && (port as number) > 0 && (port as number) <= MAX_PORT;
+
 /** Parses the host records, leaving out those without a valid address and port. */
 export function parseHostRecords(view: ObjectView<unknown>): readonly ListedPeer[] {
   return [...view.values()].flatMap(({ name, value }) => {
-    const { address, port, failureDomain = '', cores = 0 } = (value ?? {}) as Partial<HostRecord>;
-    if (typeof address !== 'string' || typeof port !== 'number') return [];
+    const record = (value ?? {}) as Partial<Record<keyof HostRecord, unknown>>;
+    const { address, port, failureDomain = '', cores = 0 } = record;
+    if (typeof address !== 'string' || isIP(address) === 0 || !isPort(port)) return [];
+    // A host that claims endless processor time would rank first for every duty.
+    if (typeof failureDomain !== 'string' || typeof cores !== 'number' || !Number.isFinite(cores))
+      return [];
     return [{ host: name, address, port, failureDomain, cores }];
   });
 }
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -15,7 +15,6 @@
   writeWithRetry,
   type Incarnation,
   type ObjectStore,
-  type StoredObject,
   type Version,
 } from '@bulrushspar/store';
 
@@ -114,6 +113,22 @@
 /** Record of a lease that has never been held. */
 const UNHELD: LeaseRecord = { fencing: 0, token: '' };
 
+const isIncarnation = (value: unknown): value is Incarnation =>
+  typeof (value as Incarnation | null)?.host === 'string' &&
+  typeof (value as Incarnation).incarnation === 'string';
+
+/** @returns undefined if another writer has left something else in the place of the record */
+function parseRecord(value: unknown): LeaseRecord | undefined {
+  const { holder, fencing, former, token } = (value ?? {}) as Partial<LeaseRecord>;
+  const isValid =
+    Number.isSafeInteger(fencing) &&
+    fencing! >= 0 &&
+    typeof token === 'string' &&
+    (holder === undefined || isIncarnation(holder)) &&
+    (former === undefined || typeof former === 'string');
+  return isValid ? (value as LeaseRecord) : undefined;
+}
+
 /**
  * Creates a lease. The holder measures its term from before it sends a renewal, by the greater
  * advance of the wall clock and the monotonic clock. A contender measures from after it has read
@@ -209,10 +224,13 @@
   /**
    * Returns a fencing number above all that may have been given out, also under records that the
    * store has lost. Within an era, only one write can replace a version.
+   * @param fencing undefined if the record cannot be read
    */
-  const nextFencing = (fencing: number, replaced: Version): number => {
+  const nextFencing = (fencing: number | undefined, replaced: Version): number => {
     const era = currentEra();
-    if (era === 0) return fencing + 1;
+    if (era === 0 && fencing !== undefined) return fencing + 1;
+    // Each new holder writes the record, so that no fencing number exceeds the version of one.
+    if (fencing === undefined) return composeVersion(era, revisionOf(replaced)) + 1;
     return Math.max(fencing, composeVersion(era, revisionOf(replaced))) + 1;
   };
 
@@ -229,45 +247,46 @@
       await renew(lastRenewal.version, lastRenewal.fencing);
       return;
     }
-    const found: StoredObject<LeaseRecord> | undefined = await store.read<LeaseRecord>(key);
-    hasReadRecord ||= found !== undefined;
+    const found = await store.read<unknown>(key);
+    const record = found && parseRecord(found.value);
+    hasReadRecord ||= record !== undefined;
     // Without a record, nothing shows how far the fencing numbers have got.
     if (!hasReadRecord && mayHaveLostNumbers()) return;
-    const { version = ABSENT, value = UNHELD } = found ?? {};
-    const { holder, fencing } = value;
-    // A later record may have been lost, with a holder whose term has not ended.
-    const isHolderUnknown = found ? !isOfCurrentEra(fencing) : mayHaveLostRecords();
-    if (isSelf(holder) && !isHolderUnknown && fencing !== abandonedFencing) {
+    const version = found?.version ?? ABSENT;
+    const { holder, fencing, former } = record ?? UNHELD;
+    // A later record may have been lost or overwritten, with a holder whose term has not ended.
+    const isLost = found ? !record || !isOfCurrentEra(fencing) : mayHaveLostRecords();
+    if (isSelf(holder) && !isLost && fencing !== abandonedFencing) {
       await renew(version, fencing);
       return;
     }
     lastRenewal = undefined;
     const isTermOver =
-      !isHolderUnknown &&
-      (holder === undefined || holder.host === self.host || isAbandoned(fencing));
+      !isLost && (holder === undefined || holder.host === self.host || isAbandoned(fencing));
     const isAvailable = isTermOver || isExpired(version);
     if (!isAvailable) return;
     const wasOwnHost = holder?.host === self.host;
-    formerHost = isHolderUnknown
+    formerHost = isLost
       ? UNKNOWN_HOST
-      : ((wasOwnHost ? value.former : undefined) ?? holder?.host ?? value.former);
+      : ((wasOwnHost ? former : undefined) ?? holder?.host ?? former);
     formerFencing = fencing;
     sinceAcquired = startMonotonicStopwatch(clock);
     expiredMilliseconds = isTermOver ? 0 : observed!.since() - termMilliseconds;
     await writeRecord(version, {
       holder: self,
-      fencing: nextFencing(fencing, version),
+      fencing: nextFencing(found && !record ? undefined : fencing, version),
       former: formerHost,
     });
   };
 
   const release = async (): Promise<void> => {
     lastRenewal = undefined;
-    const found = await store.read<LeaseRecord>(key);
-    if (!found || !isSelf(found.value.holder)) return;
+    const found = await store.read<unknown>(key);
+    const record = found && parseRecord(found.value);
+    if (!record || !isSelf(record.holder)) return;
     // A release within the handover must not shorten it for the next holder.
     const former = isInHandover() ? formerHost! : self.host;
-    await writeRecord(found.version, { fencing: found.value.fencing, former });
+    await writeRecord(found.version, { fencing: record.fencing, former });
   };
 
   return {
--- a/packages/lease/test/lease.feature
+++ b/packages/lease/test/lease.feature
@@ -27,6 +27,23 @@
     Then no two processes held the lease at the same time
     And within 30 s after the fault a process holds it
 
+  # Guards against a lease that nobody gets, since its record holds what another writer has left.
+  Scenario Outline: Another writer replaces the record
+    Given three processes that contend for a lease
+    When another writer replaces the record by <value>
+    Then no two processes held the lease at the same time
+    And each new holder had a higher fencing number
+    And within 30 s after the fault a process holds it
+
+    Examples:
+      | value                          |
+      | null                           |
+      | 7                              |
+      | {}                             |
+      | {"fencing":"1","token":"t"}    |
+      | {"fencing":-1,"token":"t"}     |
+      | {"fencing":1,"token":"t","holder":{"host":"D"}} |
+
   Scenario: Random interleavings of pauses, lost connections, crashes and clock changes
     Then 200 generated interleavings never have two holders
 
--- a/packages/lease/test/lease.ts
+++ b/packages/lease/test/lease.ts
@@ -2,7 +2,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { createClock, createManualClock, type Clock, type ManualClock } from '@bulrushspar/clock';
-import { createLease, type Lease } from '@bulrushspar/lease';
+import { createLease, LEASE_KIND, type Lease } from '@bulrushspar/lease';
 import { createMemoryStore, type MemoryStore, type StoreCopy } from '@bulrushspar/standins';
 import {
   createEraStore,
@@ -234,6 +234,15 @@
   },
 );
 
+When(
+  'another writer replaces the record by {}',
+  async function replace(this: LeaseWorld, text: string) {
+    const key = { kind: LEASE_KIND, name: 'duty' };
+    const { version } = (await this.store.read(key))!;
+    await this.store.write(key, JSON.parse(text), version);
+  },
+);
+
 When('the lease changes hosts {int} times', async function change(this: LeaseWorld, times: number) {
   for (let count = 0; count < times; count += 1) {
     const [holder] = activeHolders(this);
