Trust a rejection on a kept connection only if it names its request

Callers were told "not run, try again" for requests that a server ran: a faulty server wrote an earlier rejection again where the answer to the next request was due. An answer without an id passed for the request's own; a rejection of the same request, which is sent again over a kept connection, even bears its id. Load, limits, brittleness, the mark "leaving" and the state of the process were recorded before it was checked whose answer it was. Requests that run at most once always had a connection of their own and are not affected.

Change: on a connection that has served another request, an answer without the id counts as one to another request (possibly run, 502 or another attempt). Heads of other requests record nothing, and do not count as a loss of the request.

--- a/packages/serving/src/answer.ts
+++ b/packages/serving/src/answer.ts
@@ -71,11 +71,20 @@
   return status >= OK && status < FIRST_REDIRECT;
 }
 
+/**
+ * Returns whether an answer belongs to a request. A server may write an earlier answer again, late, where
+ * the next one is due; on a reused connection only the id of the request tells one from the other.
+ */
+export function isAnswerTo(
+  { callId, isReusedConnection = false }: AnswerHead,
+  id: string,
+): boolean {
+  return callId === undefined ? !isReusedConnection : callId === id;
+}
+
 /** Throws an {@link AnswerError} if an answer must not be passed to the caller. */
 function validateHead(head: AnswerHead, { callId, mayRetry }: AnswerOptions): void {
-  if (head.callId !== undefined && head.callId !== callId) {
-    throw createAnswerError(ANSWER_FAULT.MISMATCHED, head);
-  }
+  if (!isAnswerTo(head, callId)) throw createAnswerError(ANSWER_FAULT.MISMATCHED, head);
   if (head.notRun || head.misdirected) throw createAnswerError(ANSWER_FAULT.NOT_RUN, head);
   if (isSuccess(head.status) && !head.signed)
     throw createAnswerError(ANSWER_FAULT.MISMATCHED, head);
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -1,13 +1,13 @@
 /** Attempts of one request: sends it to servers and handles failures. */
 import type { Place } from '@bulrushspar/admission';
 import { ROUTE_KIND, type ServerEntry } from '@bulrushspar/catalogue';
-import { startMonotonicStopwatch } from '@bulrushspar/clock';
+import { startMonotonicStopwatch, type Stopwatch } from '@bulrushspar/clock';
 import { isRefusal, errorMessage, type Refusal } from '@bulrushspar/errors';
 import { sendUntilAnswered, type Relay } from '@bulrushspar/routing';
 import type { RetryBudget } from '@bulrushspar/shares';
 import { EXCHANGE_FAULT, isExchangeError, EXCHANGE_PROGRESS } from '@bulrushspar/targets';
 import type { AdmittedRequest } from './admit.js';
-import { ANSWER_FAULT, isAnswerError, isSuccess } from './answer.js';
+import { ANSWER_FAULT, isAnswerError, isAnswerTo, isSuccess } from './answer.js';
 import {
   isRetryable,
   type AnswerHead,
@@ -166,25 +166,17 @@
           workspace: admitted.workspace?.name,
           priority: admitted.priority,
           lastEventId: relay.lastEventId(),
-          requiresNewConnection: !isRetryable(route),
+          // An earlier answer to this request could come on a connection that has served it.
+          requiresNewConnection: !isRetryable(route) || request.sendCount > 1,
         },
         {
           onHead: (head, flow) => {
             cancelSilenceTimeout();
-            crashGuard.recordAnswer(state.entry, head, sinceSent);
-            if (isSuccess(head.status)) {
-              const sinceBegun = startMonotonicStopwatch(clock);
-              Object.assign(request, { begunAnswer: { framed: head.framed, sinceBegun } });
+            if (isAnswerTo(head, call.id)) {
+              recordHead(request, state, head, sinceSent);
+              balanced?.recordHead(head.load, head.notRun && !head.misdirected);
+              hasSucceeded = isSuccess(head.status);
             }
-            recordLoad(state, head);
-            balanced?.recordHead(head.load, head.notRun && !head.misdirected);
-            hasSucceeded = isSuccess(head.status);
-            if (!head.misdirected) Object.assign(state, { isBrittle: head.isBrittle === true });
-            if (!head.notRun && !head.misdirected)
-              limits.recordAnswer(state.entry, head.notice?.coldMilliseconds, sinceSent);
-            if (!head.notRun && !head.misdirected && !head.namesLimit)
-              limits.recordUnlimited(state.entry, sinceSent);
-            if (head.notice) onNotice(state.entry, head.notice);
             sink.onHead(head, flow);
           },
           onData: (chunk) => {
@@ -205,6 +197,29 @@
     }
   };
 
+  /** Records what the head of an answer to a request tells about its server. */
+  const recordHead = (
+    request: ActiveRequest<SomeCall>,
+    state: ServerState,
+    head: AnswerHead,
+    sinceSent: Stopwatch,
+  ): void => {
+    const { entry } = state;
+    const { notRun, misdirected, framed, namesLimit, notice } = head;
+    crashGuard.recordAnswer(entry, head, sinceSent);
+    if (isSuccess(head.status)) {
+      const sinceBegun = startMonotonicStopwatch(clock);
+      Object.assign(request, { begunAnswer: { framed, sinceBegun } });
+    }
+    recordLoad(state, head);
+    if (!misdirected) Object.assign(state, { isBrittle: head.isBrittle === true });
+    if (!notRun && !misdirected) {
+      limits.recordAnswer(entry, notice?.coldMilliseconds, sinceSent);
+      if (!namesLimit) limits.recordUnlimited(entry, sinceSent);
+    }
+    if (notice) onNotice(entry, notice);
+  };
+
   /** Binds a stream that may be taken up again to the version of the server that began it. */
   const recordBegun = (request: ActiveRequest<SomeCall>, { entry }: ServerState): void => {
     const { softwareVersion, service } = entry;
@@ -260,7 +275,9 @@
       return;
     }
     servers.recordOutcome(state, true);
-    const incomplete = status !== undefined && isSuccess(status);
+    // The answer to another request tells nothing of what became of this one.
+    const isMismatched = isAnswerError(error) && error.answerFault === ANSWER_FAULT.MISMATCHED;
+    const incomplete = status !== undefined && isSuccess(status) && !isMismatched;
     if (connectionLost || incomplete) crashGuard.recordLoss(request, state.entry);
     const isFinal = !mayRetry(request);
     Object.assign(request, { possibleRunCount: request.possibleRunCount + 1 });
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -54,8 +54,8 @@
   readonly priority: number;
   readonly lastEventId?: string;
   /**
-   * The request must be sent over a new connection, since a reused one may be closed by the server
-   * and the request must not be sent again.
+   * The request must be sent over a new connection: a reused one may be closed by the server when the
+   * request must not be sent again, or may bring an earlier answer to the same request.
    */
   readonly requiresNewConnection: boolean;
 }
@@ -94,6 +94,8 @@
   readonly misdirected: boolean;
   /** Id of the request that the answer belongs to, if the server sent one. */
   readonly callId?: string;
+  /** Whether the connection has served another request, whose late answer this may be. */
+  readonly isReusedConnection?: boolean;
   readonly load?: ServerLoad;
   readonly notice?: ServerNotice;
   /** Whether the server ends if it must reject too many requests in a short time. */
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -31,6 +31,13 @@
       | idempotent | are silent, answer after 400 ms | 200 whole | 2    |
       | single     | answer after 700 ms            | 200 whole | 1     |
 
+    # Guards against statements about an earlier request that are taken for ones about this request.
+    Examples: answers whose request is not named
+      | kind       | behave                                           | answer             | sends |
+      | idempotent | reject without id on a reused connection, answer | 200 whole          | 2     |
+      | single     | reject without id on a reused connection, answer | 502                | 1     |
+      | single     | reject without id, answer                        | 200 whole          | 2     |
+
     Examples: streams
       | kind      | behave                              | answer            | sends |
       | stream    | stream                              | events 12345 end  | 1     |
@@ -194,6 +201,14 @@
     Then the server that left received 1 request
     And the caller gets 200 whole
 
+  # Guards against a late answer of a server that is taken for news of it.
+  Scenario: The answer to another request tells nothing about its server
+    Given an idempotent route
+    And servers that one after another answer another request and leave, answer
+    When a request is served
+    Then the caller gets 200 whole
+    And no server counts as leaving
+
   Scenario Outline: A stream goes on only at the software version that began it
     Given a resumable route
     And the servers have the software versions "<versions>"
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -194,6 +194,15 @@
   else if (behaviour === 'reject') sink.onHead(head({ status: 503, notRun: true }), flow);
   else if (behaviour === 'end without length or event') sink.onHead(head({ framed: false }), flow);
   else if (behaviour === 'answer another request') sink.onHead(head({ callId: 'call-0' }), flow);
+  else if (behaviour === 'answer another request and leave')
+    sink.onHead(head({ callId: 'call-0', notice: { isLeaving: true } }), flow);
+  else if (behaviour === 'reject without id on a reused connection')
+    sink.onHead(
+      head({ status: 503, notRun: true, callId: undefined, isReusedConnection: true }),
+      flow,
+    );
+  else if (behaviour === 'reject without id')
+    sink.onHead(head({ status: 503, notRun: true, callId: undefined }), flow);
   else if (behaviour === 'answer unsigned') sink.onHead(head({ signed: false }), flow);
   else sink.onHead(head({ status: behaviour === 'fail' ? 500 : 200 }), flow);
   if (['answer', 'answer as brittle and full', 'answer and leave', 'fail'].includes(behaviour))
@@ -581,3 +590,7 @@
 Then('no timer fails within {int} s', async function pass(this: ServingWorld, seconds: number) {
   await this.clock.advance(seconds * 1000);
 });
+
+Then('no server counts as leaving', function check(this: ServingWorld) {
+  assert.equal(this.departedServer, undefined);
+});
