Log which models with requests are on no server

Refusals and load decisions alone do not tell whether a model that is never served has no copy, has no demand, or waits behind others. The leader now logs a line every 2 s with the missing models, those without a copy, those with requests, and the ones asked for in vain for longest.

--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -12,6 +12,7 @@
 } from './book.js';
 import { createModelReplacer } from './change.js';
 import { createColdLoads } from './cold-loads.js';
+import { createCoverage } from './coverage.js';
 import type { DemandTracker } from './demand.js';
 import type { EngineControl } from './engine.js';
 import { createOrderSender } from './issue.js';
@@ -130,6 +131,7 @@
     isAdaptive: sharesCapacity,
     onLimit: onColdLoadLimit,
   });
+  const coverage = createCoverage({ clock, logger });
   const servicePlanner = createServicePlanner({
     clock,
     logger,
@@ -141,6 +143,7 @@
     isLimited,
     millisecondsUntilOrders,
     coldLoads,
+    coverage,
     sharesCapacity,
     startLoad: (load) => startLoad(load),
   });
@@ -195,7 +198,10 @@
     if (currentFencing !== lastFencing) {
       applyServers();
       serverStates.forEach(resetServerState);
-      if (currentFencing !== undefined) coldLoads.restart(learntColdLoadLimit());
+      if (currentFencing !== undefined) {
+        coldLoads.restart(learntColdLoadLimit());
+        coverage.restart();
+      }
     }
     lastFencing = currentFencing;
     if (currentFencing === undefined) return;
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -5,6 +5,7 @@
 import { findBackgroundNeeds } from './background.js';
 import type { ServerState } from './book.js';
 import type { ColdLoads } from './cold-loads.js';
+import type { Coverage } from './coverage.js';
 import type { DemandTracker } from './demand.js';
 import { ORDER_OPERATION } from './engine.js';
 import { planLoads } from './plan.js';
@@ -43,6 +44,7 @@
   readonly isLimited: (server: string) => boolean;
   readonly millisecondsUntilOrders: (server: string) => number;
   readonly coldLoads: ColdLoads;
+  readonly coverage: Coverage;
   /** See {@link LoadCoordinatorOptions.sharesCapacity}. */
   readonly sharesCapacity: boolean;
   readonly startLoad: (load: PlannedLoad) => void;
@@ -81,7 +83,7 @@
 /** Creates the planner of one leader's services. */
 export function createServicePlanner(options: ServicePlannerOptions): ServicePlanner {
   const { clock, servers, startingLoads, profile, demand, running, isLimited } = options;
-  const { millisecondsUntilOrders, coldLoads, sharesCapacity, startLoad } = options;
+  const { millisecondsUntilOrders, coldLoads, coverage, sharesCapacity, startLoad } = options;
   const promises = createPromises();
   const backgroundAt = new Map<string, number>();
   /** Since when no request has come, by service; Infinity once one has. */
@@ -229,6 +231,7 @@
   const plan = (service: string, wants: readonly Want[]): readonly Outlook[] => {
     const view = viewService(service);
     const { engine, plannedServers, loadsInProgress, isResident, isMissing } = view;
+    coverage.observe({ service, profile: engine, servers: plannedServers, demand, isMissing });
     const knownWants = wants.filter(({ model }) => engine.models.has(model));
     if (sharesCapacity) promises.prune(isPromiseOpen(view, knownWants));
     const promisedWants = sharesCapacity
--- a/packages/loading/test/contention.feature
+++ b/packages/loading/test/contention.feature
@@ -48,6 +48,12 @@
       | without | 4    |
       | with    | 6    |
 
+  Scenario: The leader tells which models callers ask for in vain
+    Given a weight store that serves 2 loads at once
+    And 12 servers with 3 models each and 10 absent models, with shared capacity
+    When models "absent1 absent2 absent3 absent4 absent5 absent6 absent7" are each asked for once by a caller with 5 s, and 5 s pass
+    Then a log line tells of 3 models without a copy that callers ask for, "absent5" for longest
+
   # Guards against callers that are held although they cannot be served, or that all return at once.
   Scenario: Callers without time for a load are refused at once and told when to come back
     Given a weight store that serves 4 loads at once
--- a/packages/loading/test/contention.ts
+++ b/packages/loading/test/contention.ts
@@ -205,6 +205,18 @@
   },
 );
 
+Then(
+  'a log line tells of {int} models without a copy that callers ask for, {string} for longest',
+  function check(this: ContentionWorld, count: number, longest: string) {
+    const lines = this.simulation.logLines.filter(
+      ({ message }) => message === 'models with requests are on no server',
+    );
+    const { fields } = lines.at(-1)!;
+    assert.equal(fields.requestedWithoutCopy, count);
+    assert.equal(String(fields.longest).split(' ')[0], longest);
+  },
+);
+
 When('no request comes for {int} s', async function idle(this: ContentionWorld, seconds: number) {
   await play(this.simulation, this.capacity, seconds);
 });
--- a/packages/loading/test/simulation.ts
+++ b/packages/loading/test/simulation.ts
@@ -42,6 +42,8 @@
   /** When callers were first told that a model would be ready, and for when. */
   told: Map<string, { readonly at: number; readonly readyAt: number }>;
   overfull: number;
+  /** Lines that the coordinator has logged. */
+  logLines: { readonly message: string; readonly fields: Readonly<Record<string, unknown>> }[];
   /** Whether the host of the coordinator holds the lease for orders. */
   holdsLease: boolean;
   /** Limit of concurrent cold loads that the former leader has learnt. */
@@ -136,6 +138,7 @@
     loadedAt: new Map(),
     told: new Map(),
     overfull: 0,
+    logLines: [],
     holdsLease: true,
     formerLimit: undefined,
   } as unknown as Simulation;
@@ -169,7 +172,10 @@
         return ORDER_OUTCOME.ACCEPTED;
       },
     },
-    logger: silentLogger,
+    logger: {
+      ...silentLogger,
+      info: (message, fields = {}) => simulation.logLines.push({ message, fields }),
+    },
     holder: 'host-1',
     leaseFencing: () => (simulation.holdsLease ? 1 : undefined),
     fencing: () => (simulation.holdsLease ? 1 : undefined),
