--- a/packages/loading/test/simulation.ts
+++ b/packages/loading/test/simulation.ts
@@ -107,7 +107,7 @@
 }
 
 /** Starts a fleet and its coordinator. */
-export function createSimulation(fleet: FleetDescription, sharesCapacity: boolean): Simulation {
+export function createSimulation(fleet: FleetDescription, sharesCapacity?: boolean): Simulation {
   const { serverModels, serverDisks, megabytes, weightsMegabytes } = fleet;
   const clock = createManualClock();
   const demand = createDemandTracker({ clock });
@@ -184,7 +184,7 @@
     profile: () => profile,
     demand,
     running: () => new Map(),
-    sharesCapacity,
+    ...(sharesCapacity === undefined ? {} : { sharesCapacity }),
     onOutlook: (outlook) => {
       outlook.forEach(({ model, readyMilliseconds = Infinity }) => {
         if (readyMilliseconds === 0 || readyMilliseconds > 15_000) return;
