Go on with a stream only by an answer of the same status and media type

Callers found the text of an error inside their stream, or a stream that ended as if it were complete: a stream had begun and broke off, and the next server answered with a page of status 200, with 204, 206, or with an answer without length that ended before its first byte. Answers with another status than a success were refused already.

Cause: a later answer was checked for success only; its body went through the splitter of events, and an empty one counted as the end of the stream.

Change: a later answer must have the status and the media type of the one that the caller has received; an answer that only its connection's end marks, and that has no byte, is no end of a stream that has begun. Everything else counts as a failed attempt, and the stream is cut for its caller.

--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -48,6 +48,8 @@
   hasBegun(): boolean;
   /** Id of the event after which an interrupted stream resumes. */
   lastEventId(): string | undefined;
+  /** @returns whether what was sent to the caller ends inside an event of a stream */
+  endsInsideEvent(): boolean;
   /** Ends the answer after an attempt received all of it; throws if the answer is incomplete. */
   finish(): void;
   /** Releases the buffered bytes of an answer once its request has ended. */
@@ -99,6 +101,18 @@
 
 const isSuccess = (status: number): boolean => status >= OK && status < FIRST_REDIRECT_STATUS;
 
+/** @returns the media type of an answer in lower case; undefined if it names none */
+function getMediaType({ headers }: RelayedHead): string | undefined {
+  const index = headers.findIndex(
+    (name, position) => position % 2 === 0 && name.toLowerCase() === 'content-type',
+  );
+  return index < 0 ? undefined : headers[index + 1]!.split(';')[0]!.trim().toLowerCase();
+}
+
+/** Whether the body of a later answer goes on with the stream that an earlier one has begun. */
+const continuesStream = (begun: RelayedHead, later: RelayedHead): boolean =>
+  later.status === begun.status && getMediaType(later) === getMediaType(begun);
+
 /** Creates a relay that buffers an answer and sends it once it is complete. */
 export function createBufferedRelay<Head extends RelayedHead>(
   options: RelayOptions<Head>,
@@ -123,6 +137,7 @@
     },
     hasBegun: () => false,
     lastEventId: () => undefined,
+    endsInsideEvent: () => false,
     close: buffer.clear,
     finish: () => {
       if (!head) return;
@@ -155,8 +170,13 @@
   let flow: FlowControl | undefined;
   let splitter: EventSplitter | undefined;
   let scanner: EventScanner | undefined;
+  /** Head that the caller receives: that of the first answer of which a part is sent. */
   let head: Head | undefined;
+  /** Head of the answer of the current attempt. */
+  let currentHead: Head | undefined;
   let pendingBytes = 0;
+  /** Bytes of the body that the current attempt has sent. */
+  let attemptBytes = 0;
   let bodyBytes = 0;
   writer.onDrain(() => flow?.resume());
 
@@ -168,15 +188,16 @@
 
   /** Only the end of its connection marks the end of such a stream, so that it may be a crash. */
   const isEndedBeforeFirstEvent = (): boolean =>
-    head !== undefined &&
-    isSuccess(head.status) &&
-    !head.framed &&
-    bodyBytes === 0 &&
-    options.lastEventId === undefined;
+    currentHead !== undefined &&
+    isSuccess(currentHead.status) &&
+    !currentHead.framed &&
+    attemptBytes === 0 &&
+    (options.lastEventId === undefined || writer.hasBegun());
 
   const writeChunk = (chunk: Buffer): void => {
     writeHead();
     bodyBytes += chunk.length;
+    attemptBytes += chunk.length;
     onChunk(chunk);
     if (!writer.write(chunk)) flow?.pause();
   };
@@ -198,13 +219,16 @@
       scanner = createEventScanner();
       if (pendingBytes > 0) onPending(0);
       pendingBytes = 0;
+      attemptBytes = 0;
+      currentHead = undefined;
       return {
         onHead: (answerHead, control) => {
           options.check(answerHead);
           // A stream resumed on another server keeps the head that was already sent.
-          if (writer.hasBegun() && !isSuccess(answerHead.status))
-            throw options.createIncompleteError(answerHead);
           if (!writer.hasBegun()) head = answerHead;
+          else if (!continuesStream(head!, answerHead))
+            throw options.createIncompleteError(answerHead);
+          currentHead = answerHead;
           flow = control;
         },
         onData: handleChunk,
@@ -212,6 +236,7 @@
     },
     hasBegun: writer.hasBegun,
     lastEventId: () => lastEventId,
+    endsInsideEvent: () => !resumable && scanner?.isInsideEvent() === true,
     close: () => {},
     finish: () => {
       if (pendingBytes > 0 || scanner?.isInsideEvent() || isEndedBeforeFirstEvent())
--- a/packages/serving/test/serve.feature
+++ b/packages/serving/test/serve.feature
@@ -58,6 +58,20 @@
       | stream    | end without length or event        | 502              | 1     |
       | resumable | end without length or event, stream | events 12345 end | 2     |
 
+    # Guards against an error or its text inside a stream, and against a stream that ends as if it were whole.
+    Examples: streams that another server should go on with
+      | kind      | behave                                                              | answer           | sends |
+      | resumable | stream up to 3 and are cut, fail                                    | events 123!      | 2     |
+      | resumable | stream up to 3 and are cut, answer with status 200 of text/html     | events 123!      | 2     |
+      | resumable | stream up to 3 and are cut, answer with status 204 of no type       | events 123!      | 2     |
+      | resumable | stream up to 3 and are cut, answer with status 206 of events        | events 123!      | 2     |
+      | resumable | stream up to 3 and are cut, answer with status 404 of text/html     | events 123!      | 2     |
+      | resumable | stream up to 3 and are cut, end without length or event             | events 123!      | 2     |
+      | resumable | stream up to 3 and are cut, answer another request                  | events 123!      | 2     |
+      | resumable | stream up to 5 and are cut, stream                                  | events 12345 end | 2     |
+      | stream    | answer with status 404 of text/html                                 | 404              | 1     |
+      | resumable | answer with status 404 of text/html, stream                         | 404              | 1     |
+
   # Guards against a host whose memory is used up by answers and events that never end.
   Scenario Outline: A server sends bytes without end
     Given a <kind> route
--- a/packages/serving/test/serve.ts
+++ b/packages/serving/test/serve.ts
@@ -73,6 +73,7 @@
 const STEP_MILLISECONDS = 20;
 const MAX_TEST_MILLISECONDS = 20_000;
 const flow = { pause: () => {}, resume: () => {} };
+const EVENT_TYPE = ['Content-Type', 'text/event-stream; charset=utf-8'];
 const formatEvent = (id: number): string => `id: ${id}\ndata: ${id}\n\n`;
 
 const ROUTES: Readonly<Record<string, Partial<Route>>> = {
@@ -154,7 +155,7 @@
 
 /** Streams the events that follow the last one that the caller received. */
 function stream(sink: AnswerSink, attempt: Attempt, upTo: number, truncated: boolean): void {
-  sink.onHead(head(), flow);
+  sink.onHead(head({ headers: EVENT_TYPE }), flow);
   const first = Number(attempt.lastEventId ?? 0) + 1;
   for (let id = first; id <= upTo; id += 1) sink.onData(Buffer.from(formatEvent(id)));
   if (truncated) sink.onData(Buffer.from(formatEvent(upTo + 1).slice(0, 9)));
@@ -178,6 +179,13 @@
     }
     return;
   }
+  const other = /^answer with status (\d+) of (.+)$/.exec(behaviour);
+  if (other) {
+    const type = { events: EVENT_TYPE, 'no type': [] }[other[2]!] ?? ['content-type', other[2]!];
+    sink.onHead(head({ status: Number(other[1]), headers: type }), flow);
+    if (other[1] !== '204') sink.onData(Buffer.from('an error\n\nanother error\n\n'));
+    return;
+  }
   if (behaviour === 'stream') stream(sink, attempt, 5, false);
   else if (behaviour === 'are cut') throw cut(EXCHANGE_PROGRESS.SENT);
   else if (behaviour === 'are unreachable') throw cut(EXCHANGE_PROGRESS.NOT_SENT);
@@ -192,7 +200,8 @@
   else if (behaviour === 'answer as brittle and full')
     sink.onHead(head({ isBrittle: true, load: { running: 8, waiting: 0, slots: 8 } }), flow);
   else if (behaviour === 'reject') sink.onHead(head({ status: 503, notRun: true }), flow);
-  else if (behaviour === 'end without length or event') sink.onHead(head({ framed: false }), flow);
+  else if (behaviour === 'end without length or event')
+    sink.onHead(head({ framed: false, headers: EVENT_TYPE }), flow);
   else if (behaviour === 'answer another request') sink.onHead(head({ callId: 'call-0' }), flow);
   else if (behaviour === 'answer another request and leave')
     sink.onHead(head({ callId: 'call-0', notice: { isLeaving: true } }), flow);
@@ -506,7 +515,8 @@
 
 function describe({ status, body, ended, broken, retryAfter }: RecordedReply): string {
   const events = [...body.matchAll(/^data: (.*)$/gm)].map(([, data]) => data).join('');
-  if (events !== '') return `events ${events}${ended ? ' end' : ''}${broken ? '!' : ''}`;
+  const text = events !== '' && body.includes('error') ? ' and the text of an error' : '';
+  if (events !== '') return `events ${events}${text}${ended ? ' end' : ''}${broken ? '!' : ''}`;
   if (retryAfter !== undefined) return `${status} with retry-after`;
   return `${status}${body === 'whole' && status === 200 ? ' whole' : ''}`;
 }
