Cut a stream whose last event is cut, instead of ending it with a refusal

A caller of the product's own front received half an event with the text of an error behind it, in an answer that ended in order: an engine had been cut inside an event, and the refusal was appended as the last event of the stream. Behind a whole event it still is, as docs/CALLERS.md says.

Evidence: node/path "An answer that is cut inside an event" on shows `data: {"id":"…data: {"error":…`; with the change the connection ends.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -43,9 +43,10 @@
 
 /**
  * Answers a request with a refusal. An event stream that has begun ends with the refusal as its last
- * event; any other answer that has begun is cut off.
+ * event; any other answer that has begun is cut off. Does nothing once the connection has ended.
  */
 export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: string): void {
+  if (response.destroyed) return;
   const body = formatRefusalBody(refusal, requestId);
   if (response.headersSent) {
     const isEventStream = String(response.getHeader('content-type')).startsWith(
--- a/packages/gateway/src/tries.ts
+++ b/packages/gateway/src/tries.ts
@@ -210,6 +210,8 @@
       try {
         const crashDetection = guard.detectCrash(server, error, sinceSent);
         const refusal = getFinalRefusal(context, error, relay.hasBegun());
+        // The refusal would become a part of the event that was cut.
+        if (refusal && relay.endsInsideEvent()) context.response.destroy();
         if (refusal) throw refusal;
         await crashDetection;
         tracer.addStep('failed', `${server.name}: ${(error as Error).message}`);
--- a/packages/node/test/path.feature
+++ b/packages/node/test/path.feature
@@ -129,6 +129,13 @@
       | cut-amid   | target_failed |
       | ends-early | answer_cut    |
 
+  # Guards against the text of an error in the middle of an event, in a stream that ends as if it were whole.
+  Scenario: An answer that is cut inside an event is cut for the caller as well
+    Given "model-a" is loaded
+    And the next request reaches an engine that cut-inside-event
+    When the caller asks "model-a" for 8 tokens streamed
+    Then the answer is cut, without an error in it
+
   Scenario: A call that one target may have run is not refused as not run
     Given a fleet of 1 node with 2 services
     And the first service cuts its answers and the second cannot be reached
--- a/packages/node/test/path.ts
+++ b/packages/node/test/path.ts
@@ -246,6 +246,13 @@
   assert.equal(this.answer.code, code, this.answer.text);
 });
 
+Then('the answer is cut, without an error in it', function check(this: FleetWorld) {
+  const { text, isComplete, code } = this.answer;
+  assert.equal(isComplete, false);
+  assert.ok(!text.includes('"error"'), text);
+  assert.equal(code, undefined);
+});
+
 Then('the call is answered with {int}', function answered(this: FleetWorld, status: number) {
   assert.equal(this.answer.status, status, this.answer.text);
 });
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -29,6 +29,8 @@
   CUT_BEFORE: 'cut-before',
   /** Destroys the connection of a stream after `TOKENS_BEFORE_CUT` tokens. */
   CUT_AMID: 'cut-amid',
+  /** The same, in the middle of an event. */
+  CUT_INSIDE_EVENT: 'cut-inside-event',
   /** Accepts the request and never responds. */
   SILENT: 'silent',
   /** Simulates a crash and a restart: aborts all open requests and unloads all models. */
@@ -241,7 +243,12 @@
         return;
       }
       const choices = [{ index: 0, delta: { content: `${words[index]} ` } }];
-      response.write(`data: ${JSON.stringify({ id, choices })}\n\n`);
+      const event = `data: ${JSON.stringify({ id, choices })}\n\n`;
+      if (fault === ENGINE_FAULT.CUT_INSIDE_EVENT && index === TOKENS_BEFORE_CUT) {
+        response.write(event.slice(0, event.length / 2), () => response.destroy());
+        return;
+      }
+      response.write(event);
     }
     if (fault === ENGINE_FAULT.CRASH_AFTER_END) {
       response.end(crash);
