Plan loads for a scarce weight store on every deployment

Causes, one class: loads were planned as if the weight store were not short, unless the contract "pressure" was in force. - Only accepted orders counted against the limit, not loads that were about to be ordered: each plan, 20 ms later, decided four more. - The limit was fixed at 4; the store of this deployment serves 2. - A refused request took its demand with it, so that a free place went to whatever request came next. - Before requests come, nothing was loaded for 16 s. - A new leader did not know the loads under way: it decided them again, beside those that ran.

Change: the learnt limit (at most 4 where capacity is not shared, since a server takes no other order during a cold load) replaces the fixed one. Models without any copy are loaded by their lasting demand while an eighth of the servers at most has a cold load, and before requests come. The report on the lease carries the loads under way, which the next leader takes over with their age; without it, it waits up to 500 ms for the servers' reports. Hosts of an earlier build ignore the field. The time that plans may take is bounded everywhere.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -346,7 +346,7 @@
     eras,
     isFirstStart: options.isFirstStart,
     sharesCapacity: options.sharesCapacity ?? false,
-    ...(options.sharesCapacity ? createLoadMetrics(options.metrics) : {}),
+    ...createLoadMetrics(options.metrics),
     reachesServers: options.reachesServers,
     canOthersReachStore: () => gossip.canOthersReachStore(),
     contentionRank: () => fleet.contentionRank(),
--- a/packages/entry/src/lease-reports.ts
+++ b/packages/entry/src/lease-reports.ts
@@ -38,6 +38,7 @@
         sinceOrder: report.sinceOrder,
         sinceOrderAt: report.sinceOrderAt,
         coldLoadLimit: report.coldLoadLimit,
+        coldLoads: report.coldLoads,
         since: () => age + sinceReceived(),
         sinceOver: over ? (overBefore ?? sinceReceived) : undefined,
       });
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,6 @@
 import type { WaitingCounts } from '@bulrushspar/admission';
 import type { ServerDeparture } from '@bulrushspar/catalogue';
-import type { Outlook, Want } from '@bulrushspar/loading';
+import type { ColdLoad, Outlook, Want } from '@bulrushspar/loading';
 import type { PromptPartUpdate } from '@bulrushspar/routing';
 import type { BegunStream, ColdUpdate, LimitUpdate, SlownessMessage } from '@bulrushspar/serving';
 import type { Incarnation, ObjectChange, StoredObject } from '@bulrushspar/store';
@@ -67,6 +67,8 @@
   readonly sinceOrderAt?: Readonly<Record<string, number>> | undefined;
   /** Number of concurrent cold loads that the leader has learnt; absent if it has learnt none. */
   readonly coldLoadLimit?: number | undefined;
+  /** Loads from the weight store that servers executed when the host sent the report. */
+  readonly coldLoads?: readonly ColdLoad[] | undefined;
 }
 
 /** Digest and greatest rank of the objects of each kind. */
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -8,6 +8,7 @@
 import { createLease } from '@bulrushspar/lease';
 import {
   createLoadCoordinator,
+  type ColdLoad,
   type LoadCoordinator,
   type DemandTracker,
   type EngineControl,
@@ -65,7 +66,7 @@
   readonly isFirstStart?: boolean;
   /** Returns whether a server has limited its requests; it gets loads only if all servers have. */
   readonly isLimited?: (server: string) => boolean;
-  /** Whether loads share the weight store adaptively and idle capacity is used; false by default. */
+  /** Whether promised times are kept and all idle capacity is used; false by default. */
   readonly sharesCapacity?: boolean;
   /** Called for each load that this host decides. */
   readonly onLoadDecided?: (load: PlannedLoad) => void;
@@ -112,6 +113,11 @@
   const sinceOrderAt = new Map<string, Stopwatch>();
   let serverIds: readonly string[] = [];
   let coldLoadLimit: number | undefined;
+  /** Fencing numbers of this host's current or last term, and of the one before. */
+  let ownFencing: number | undefined;
+  let formerOwnFencing: number | undefined;
+  /** Cold loads when this host was last the leader. */
+  let lastColdLoads: { readonly loads: readonly ColdLoad[]; readonly since: Stopwatch } | undefined;
 
   const sinceStart = startMonotonicStopwatch(clock);
 
@@ -146,6 +152,10 @@
       return since === undefined ? Infinity : since + found.since();
     },
     onChange: (held) => {
+      if (held) {
+        formerOwnFencing = ownFencing;
+        ownFencing = lease.currentFencing();
+      }
       logger.info(held ? 'lease for orders taken' : 'lease for orders lost', {
         fencing: lease.currentFencing(),
         former: lease.formerHost(),
@@ -205,7 +215,18 @@
     return recent;
   };
 
-  const describeLease = (): OrderLease | undefined => {
+  const ageColdLoads = (loads: readonly ColdLoad[], since: Stopwatch): readonly ColdLoad[] =>
+    loads.map((load) => ({ ...load, milliseconds: load.milliseconds + Math.round(since()) }));
+
+  /** The cold loads at the end of this host's last term, or now if it is the leader. */
+  const describeColdLoads = (): Pick<OrderLease, 'coldLoads'> => {
+    if (lease.currentFencing() !== undefined)
+      lastColdLoads = { loads: commander.coldLoads(), since: startMonotonicStopwatch(clock) };
+    if (!lastColdLoads || lastColdLoads.loads.length === 0) return {};
+    return { coldLoads: ageColdLoads(lastColdLoads.loads, lastColdLoads.since) };
+  };
+
+  const describeTerm = (): OrderLease | undefined => {
     const fencing = lease.currentFencing();
     if (fencing !== undefined) lastDescribed = { fencing, over: false, coldLoadLimit };
     else if (lastDescribed && !lastDescribed.over) {
@@ -223,6 +244,17 @@
     return { ...lastDescribed, sinceOrder: Math.round(since), sinceOrderAt: recentOrders() };
   };
 
+  const describeLease = (): OrderLease | undefined => {
+    const described = describeTerm();
+    return described && { ...described, ...describeColdLoads() };
+  };
+
+  const formerColdLoads = (): readonly ColdLoad[] | undefined => {
+    const found = reports.newest();
+    if (!found || found.fencing < (formerOwnFencing ?? 0)) return undefined;
+    return ageColdLoads(found.coldLoads ?? [], found.since);
+  };
+
   const commander = createLoadCoordinator({
     clock,
     control,
@@ -238,6 +270,7 @@
     sharesCapacity,
     ...(onLoadDecided ? { onLoadDecided } : {}),
     learntColdLoadLimit: () => reports.newest()?.coldLoadLimit,
+    formerColdLoads,
     onColdLoadLimit: (limit) => {
       coldLoadLimit = limit;
       onColdLoadLimit(limit);
@@ -268,6 +301,7 @@
         sinceOrder: order,
         sinceOrderAt: orders,
         coldLoadLimit: found.coldLoadLimit,
+        coldLoads: found.coldLoads,
         age,
       };
     },
--- a/packages/loading/src/background.ts
+++ b/packages/loading/src/background.ts
@@ -14,6 +14,13 @@
   readonly coldLoadLimit: number;
   /** Whether no request has come for any model for some time. */
   readonly isCalm: boolean;
+  /** Number of servers that load a model from the weight store. */
+  readonly coldServers: number;
+  /**
+   * Whether only models of which no server has a copy are loaded, and on few servers: one with a cold load
+   * takes no other order for seconds.
+   */
+  readonly onlyWithoutCopy?: boolean;
 }
 
 /**
@@ -27,9 +34,16 @@
 const MAX_NEEDS = 8;
 /** Part of the places at the weight store that loads without any demand may use. */
 const SPECULATIVE_SHARE = 0.5;
+/** Part of the servers that may load models without a copy at a time, if no request waits for these. */
+const MAX_COLD_SERVER_SHARE = 1 / 8;
 /** Part of the servers that must have no order in progress for such loads to begin. */
 const IDLE_SERVER_SHARE = 0.5;
 
+/** Returns how many servers may load models without a copy, if no request waits for these. */
+function maxColdServers(servers: number): number {
+  return Math.floor(servers * MAX_COLD_SERVER_SHARE);
+}
+
 /** Returns the memory that no model on a server takes, in megabytes. */
 function freeMegabytes(
   { weightsMegabytes, models: profiles }: EngineProfile,
@@ -50,6 +64,7 @@
  */
 export function findBackgroundNeeds(input: BackgroundInput): readonly BackgroundNeed[] {
   const { profile, servers, demand, isMissing, coldLoadLimit, isCalm } = input;
+  const { coldServers, onlyWithoutCopy = false } = input;
   const idleServers = servers.filter(({ busyMilliseconds }) => busyMilliseconds === 0);
   if (idleServers.length === 0) return [];
   const rateOf = new Map(
@@ -59,13 +74,24 @@
   const valueOf = (model: string): number =>
     rateOf.get(model)! / Math.max(1, profile.models.get(model)!.coldMilliseconds);
 
-  const missing = [...profile.models.keys()].filter(isMissing);
+  const copied = new Set(servers.flatMap(({ inMemory, onDisk }) => [...inMemory, ...onDisk]));
+  const missing = [...profile.models.keys()].filter(
+    (model) => isMissing(model) && !(onlyWithoutCopy && copied.has(model)),
+  );
   const demanded = missing.filter((model) => rateOf.get(model)! >= MIN_REQUESTS_PER_SECOND);
-  const demandNeeds = demanded
+  const mayLoadDemanded = !onlyWithoutCopy || coldServers < maxColdServers(servers.length);
+  const demandNeeds = (mayLoadDemanded ? demanded : [])
     .sort((a, b) => valueOf(b) - valueOf(a))
     .slice(0, MAX_NEEDS)
     .map((model) => ({ model, requestsPerSecond: rateOf.get(model)!, placesKept: 0 }));
 
+  const placesKept = coldLoadLimit - Math.floor(coldLoadLimit * SPECULATIVE_SHARE);
+  const uncopiedNeeds = (isCalm ? missing : [])
+    .filter((model) => !copied.has(model))
+    .slice(0, MAX_NEEDS)
+    .map((model) => ({ model, evictsCopied: true, placesKept }));
+  if (onlyWithoutCopy) return [...demandNeeds, ...uncopiedNeeds];
+
   const rooms = idleServers.map((server) => ({ server, free: freeMegabytes(profile, server) }));
   const hasRoom = (model: string): boolean =>
     rooms.some(({ free }) => free >= profile.models.get(model)!.megabytes);
@@ -91,12 +117,6 @@
     .map((model) => ({ model, placesKept: Infinity }));
 
   const maySpeculate = idleServers.length > servers.length * IDLE_SERVER_SHARE;
-  const placesKept = coldLoadLimit - Math.floor(coldLoadLimit * SPECULATIVE_SHARE);
-  const copied = new Set(servers.flatMap(({ inMemory, onDisk }) => [...inMemory, ...onDisk]));
-  const uncopiedNeeds = (isCalm ? missing : [])
-    .filter((model) => !copied.has(model))
-    .slice(0, MAX_NEEDS)
-    .map((model) => ({ model, evictsCopied: true, placesKept }));
   const speculativeNeeds = (maySpeculate ? missing : [])
     .filter((model) => !nearbyModels.has(model) && hasRoom(model))
     .sort(byRate)
--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -38,6 +38,16 @@
   readonly expectedMilliseconds: number;
   /** Whether it loads weights from the weight store, as of when it was accepted. */
   readonly isCold?: boolean;
+  /** Whether an earlier leader has sent it. */
+  readonly isInherited?: boolean;
+}
+
+/** A load from the weight store that a server is executing. */
+export interface ColdLoad {
+  readonly server: string;
+  readonly model: string;
+  /** Milliseconds since it began. */
+  readonly milliseconds: number;
 }
 
 /** Time after an order within which a server's entry reflects it: one heartbeat and a margin. */
@@ -164,8 +174,11 @@
   }
   updated.hasForeignOrder = false;
   removeUnloadedAdapters(updated, models);
-  if (pendingOrder && (report.busy || !showsCompletion(pendingOrder, models))) return;
-  if (pendingOrder) completePendingOrder(updated, clock);
+  const isComplete = pendingOrder !== undefined && showsCompletion(pendingOrder, models);
+  if (pendingOrder && (report.busy || (!isComplete && pendingOrder.isInherited !== true))) return;
+  if (isComplete) completePendingOrder(updated, clock);
+  // What an earlier leader has told of the order is out of date.
+  else delete updated.pendingOrder;
   updated.models = models;
 }
 
--- a/packages/loading/src/change.ts
+++ b/packages/loading/src/change.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
-import { completePendingOrder, applyReport, type ServerState } from './book.js';
+import { completePendingOrder, applyReport, type ColdLoad, type ServerState } from './book.js';
 import {
   ORDER_OPERATION,
   ORDER_OUTCOME,
@@ -20,6 +20,8 @@
    * @returns whether the server accepted the order to load the model, or already holds it
    */
   replace(state: ServerState, victims: readonly string[], model: string): Promise<boolean>;
+  /** Takes over a load from the weight store that a server executes for an earlier leader. */
+  adopt(state: ServerState, load: ColdLoad): void;
 }
 
 /** Options of {@link createModelReplacer}. */
@@ -151,5 +153,18 @@
       }
       return sendWhenIdle(state, { operation: ORDER_OPERATION.LOAD, model });
     },
+    adopt: (state, { model, milliseconds }) => {
+      const found = profile(state.entry.service)?.models.get(model);
+      if (!found || state.models.has(model)) return;
+      const updated = state;
+      updated.pendingOrder = {
+        request: { operation: ORDER_OPERATION.LOAD, model },
+        startedAt: clock.monotonic() - milliseconds,
+        expectedMilliseconds: found.coldMilliseconds,
+        isCold: true,
+        isInherited: true,
+      };
+      pollOverdueLoad(updated, Math.max(0, found.coldMilliseconds - milliseconds));
+    },
   };
 }
--- a/packages/loading/src/cold-loads.ts
+++ b/packages/loading/src/cold-loads.ts
@@ -1,9 +1,8 @@
 /** Limits of the loads from the weight store: their rate and how many run concurrently. */
-import type { EngineProfile } from '@bulrushspar/catalogue';
+import { acceptsRequests, type EngineProfile } from '@bulrushspar/catalogue';
 import type { Clock } from '@bulrushspar/clock';
 import type { Logger } from '@bulrushspar/logging';
-import type { ServerState } from './book.js';
-import { estimateLoad } from './change.js';
+import type { ColdLoad, ServerState } from './book.js';
 import { createConcurrencyLimit } from './concurrency.js';
 import { ORDER_OPERATION } from './engine.js';
 import type { PlanInput, PlannedLoad } from './plan-input.js';
@@ -27,6 +26,10 @@
   /** Forgets what was measured before this host took the lease. @param limit the last leader's */
   restart(limit: number | undefined): void;
   limits(engine: EngineProfile): ColdLoadLimits;
+  /** The loads from the weight store that servers execute. */
+  underWay(): readonly ColdLoad[];
+  /** Number of servers that execute such a load, or are about to. */
+  countServers(): number;
   /** Expected milliseconds until the cold load of a server ends, if its speed has been learnt. */
   remainingOn(server: ServerState): number | undefined;
 }
@@ -39,15 +42,18 @@
   /** Loads whose orders are being sent, by server. */
   readonly startingLoads: ReadonlyMap<string, PlannedLoad>;
   readonly profile: (service: string) => EngineProfile | undefined;
-  /** Whether the number of concurrent loads is learnt; otherwise it is fixed. */
-  readonly isAdaptive: boolean;
+  /** Most loads that run concurrently, whatever is learnt; no bound by default. */
+  readonly maxConcurrent?: number;
   readonly onLimit?: (limit: number) => void;
 }
 
+/**
+ * Longest time for which no cold load begins since the states of some servers are not known yet. Servers
+ * answer requests for reports in 300 ms or not at all.
+ */
+const MAX_UNKNOWN_MILLISECONDS = 500;
 /** Window over which the starts of cold loads are counted against their rate limit. */
 const WINDOW_MILLISECONDS = 5000;
-/** Number of concurrent loads that the weight store serves at full speed, if it is not learnt. */
-const MAX_CONCURRENT_COLD_LOADS = 4;
 const MILLISECONDS_PER_SECOND = 1000;
 
 const idOf = ({ entry, pendingOrder }: ServerState): string =>
@@ -55,18 +61,12 @@
 
 /** Creates the limits of one leader's cold loads. */
 export function createColdLoads(options: ColdLoadsOptions): ColdLoads {
-  const {
-    clock,
-    logger,
-    servers,
-    startingLoads,
-    profile,
-    isAdaptive,
-    onLimit = () => {},
-  } = options;
+  const { clock, logger, servers, startingLoads, profile, onLimit = () => {} } = options;
+  const { maxConcurrent = Infinity } = options;
   let startTimes: number[] = [];
   const observed = new Map<string, { readonly state: ServerState; readonly model: string }>();
   let remaining: ReadonlyMap<string, number> = new Map();
+  let restartedAt = -Infinity;
   const concurrency = createConcurrencyLimit({
     onChange: (limit) => {
       logger.info('limit of concurrent cold loads changed', { limit });
@@ -84,27 +84,6 @@
     return Math.floor(perWindow) - startTimes.length;
   };
 
-  const fixedLimits = (engine: EngineProfile): ColdLoadLimits => {
-    const remainingMilliseconds = [...servers.values()].flatMap(({ pendingOrder, entry }) => {
-      if (pendingOrder?.request.operation !== ORDER_OPERATION.LOAD) return [];
-      if (!estimateLoad(entry, engine, pendingOrder.request.model).cold) return [];
-      return [
-        Math.max(0, pendingOrder.startedAt + pendingOrder.expectedMilliseconds - clock.monotonic()),
-      ];
-    });
-    const [coldWaitMilliseconds = WINDOW_MILLISECONDS] = remainingMilliseconds.sort(
-      (x, y) => x - y,
-    );
-    return {
-      availableColdLoads: Math.min(
-        startsLeft(engine),
-        MAX_CONCURRENT_COLD_LOADS - remainingMilliseconds.length,
-      ),
-      coldWaitMilliseconds,
-      maxConcurrentColdLoads: MAX_CONCURRENT_COLD_LOADS,
-    };
-  };
-
   const remainingOn = (state: ServerState): number | undefined =>
     isColdLoad(state) ? remaining.get(idOf(state)) : undefined;
 
@@ -114,8 +93,16 @@
     return Math.max(1, Math.floor((coldLoadsPerSecond * longest) / MILLISECONDS_PER_SECOND));
   };
 
-  const learntLimits = (engine: EngineProfile): ColdLoadLimits => {
-    const places = Math.min(concurrency.limit(), maxByRate(engine));
+  /** Whether a server may execute a load of an earlier leader that this one has not heard of. */
+  const mayRunUnknown = (): boolean =>
+    clock.monotonic() - restartedAt < MAX_UNKNOWN_MILLISECONDS &&
+    [...servers.values()].some(
+      ({ entry, sequence, hasForeignOrder }) =>
+        sequence === undefined && !hasForeignOrder && acceptsRequests(entry),
+    );
+
+  const limits = (engine: EngineProfile): ColdLoadLimits => {
+    const places = Math.min(concurrency.limit(), maxByRate(engine), maxConcurrent);
     const busy = [...servers.values()].flatMap((state) => {
       const starting = startingLoads.get(state.entry.id);
       if (isColdLoad(state))
@@ -133,7 +120,7 @@
       Math.max(end, untilStart),
     );
     return {
-      availableColdLoads: Math.min(left, free.length),
+      availableColdLoads: mayRunUnknown() ? 0 : Math.min(left, free.length),
       coldWaitMilliseconds: Math.min(...coldPlaces),
       maxConcurrentColdLoads: places,
       coldPlaces,
@@ -146,9 +133,10 @@
       startTimes.push(clock.monotonic());
     },
     observe: (isMoreWanted) => {
-      if (!isAdaptive) return;
       const states = [...servers.values()].filter(({ entry }) => profile(entry.service));
-      const running = states.filter(isColdLoad).map((state) => {
+      const isOwn = (state: ServerState): boolean =>
+        isColdLoad(state) && state.pendingOrder!.isInherited !== true;
+      const running = states.filter(isOwn).map((state) => {
         const id = idOf(state);
         const { request, expectedMilliseconds } = state.pendingOrder!;
         observed.set(id, { state, model: request.model });
@@ -157,7 +145,9 @@
       concurrency.observe({
         now: clock.monotonic(),
         running,
-        others: states.filter(({ hasForeignOrder }) => hasForeignOrder).length,
+        others: states.filter(
+          ({ hasForeignOrder, pendingOrder }) => hasForeignOrder || pendingOrder?.isInherited,
+        ).length,
         isMoreWanted,
         hasSucceeded: (id) => {
           const load = observed.get(id);
@@ -178,8 +168,19 @@
       observed.clear();
       remaining = new Map();
       concurrency.restart(limit);
+      restartedAt = clock.monotonic();
     },
-    limits: (engine) => (isAdaptive ? learntLimits(engine) : fixedLimits(engine)),
+    limits,
+    countServers: () =>
+      [...servers.values()].filter(
+        (state) => isColdLoad(state) || startingLoads.get(state.entry.id)?.cold === true,
+      ).length,
+    underWay: () =>
+      [...servers.values()].filter(isColdLoad).map(({ entry, pendingOrder }) => ({
+        server: entry.id,
+        model: pendingOrder!.request.model,
+        milliseconds: Math.round(clock.monotonic() - pendingOrder!.startedAt),
+      })),
     remainingOn,
   };
 }
--- a/packages/loading/src/commander.ts
+++ b/packages/loading/src/commander.ts
@@ -8,6 +8,7 @@
   createServerState,
   resetServerState,
   applyEntry,
+  type ColdLoad,
   type ServerState,
 } from './book.js';
 import { createModelReplacer } from './change.js';
@@ -36,6 +37,8 @@
    * @returns whether the adapter is resident, or the server has accepted the order to load it
    */
   ensureAdapter(server: string, model: string, adapter: string): Promise<boolean>;
+  /** The loads from the weight store that servers execute, as far as this host knows as the leader. */
+  coldLoads(): readonly ColdLoad[];
   /** Stops the periodic planning. */
   stop(): void;
 }
@@ -68,12 +71,17 @@
    */
   readonly onOutlook?: (outlook: readonly Outlook[], hosts: readonly string[]) => void;
   /**
-   * Whether the number of concurrent cold loads is learnt, promised times are kept and idle capacity
-   * is used for models that no request waits for.
+   * Whether promised times are kept and all idle capacity is used for models that no request waits
+   * for. Otherwise only models without any copy are loaded then; false by default.
    */
   readonly sharesCapacity?: boolean;
   /** Returns the number of concurrent cold loads that the last leader has learnt, if it is known. */
   readonly learntColdLoadLimit?: () => number | undefined;
+  /**
+   * Returns the loads from the weight store that servers executed for the last leader; undefined if
+   * this host was the last leader itself.
+   */
+  readonly formerColdLoads?: () => readonly ColdLoad[] | undefined;
   /** Called for each load that is decided. */
   readonly onLoadDecided?: (load: PlannedLoad) => void;
   /** Called when the learnt number of concurrent cold loads has changed. */
@@ -91,6 +99,11 @@
  * plans that it lost the lease.
  */
 const MAX_PLAN_SHARE = 0.2;
+/**
+ * Most concurrent cold loads where idle capacity is not shared: a server with such a load takes no other
+ * order for seconds, and small fleets have few servers for loads from disks.
+ */
+const MAX_CONCURRENT_COLD_LOADS = 4;
 /** Minimum interval between outlooks; the plans in between differ little. */
 const OUTLOOK_INTERVAL_MILLISECONDS = 50;
 /** Time before the end of the handover at which the servers' reports are requested. */
@@ -111,6 +124,7 @@
   const { onOutlook = () => {}, onUnloading = () => {}, isLimited = () => false } = options;
   const { sharesCapacity = false, onColdLoadLimit = () => {} } = options;
   const { learntColdLoadLimit = () => undefined, onLoadDecided = () => {} } = options;
+  const { formerColdLoads = () => undefined } = options;
   const serverStates = new Map<string, ServerState>();
   let latestServers: ServerView = new Map();
   const wantBook = createWantBook(clock);
@@ -121,6 +135,8 @@
   let planMilliseconds = 0;
   let lastOutlookAt = -Infinity;
   let lastFencing: number | undefined;
+  /** Cold loads at the end of this host's last term, by when they began. */
+  let ownColdLoads: readonly (ColdLoad & { readonly startedAt: number })[] = [];
 
   const coldLoads = createColdLoads({
     clock,
@@ -128,7 +144,7 @@
     servers: serverStates,
     startingLoads,
     profile,
-    isAdaptive: sharesCapacity,
+    ...(sharesCapacity ? {} : { maxConcurrent: MAX_CONCURRENT_COLD_LOADS }),
     onLimit: onColdLoadLimit,
   });
   const coverage = createCoverage({ clock, logger });
@@ -193,15 +209,37 @@
       });
   };
 
+  const rememberColdLoads = (): void => {
+    const now = clock.monotonic();
+    ownColdLoads = coldLoads
+      .underWay()
+      .map((load) => ({ ...load, startedAt: now - load.milliseconds }));
+  };
+
+  /** Continues with what the last leader knew of the weight store. */
+  const beginTerm = (): void => {
+    const now = clock.monotonic();
+    coldLoads.restart(learntColdLoadLimit());
+    coverage.restart();
+    const ownLoads = ownColdLoads.map((load) => ({ ...load, milliseconds: now - load.startedAt }));
+    const loads = formerColdLoads() ?? ownLoads;
+    loads.forEach((load) => {
+      const state = serverStates.get(load.server);
+      if (state) modelReplacer.adopt(state, load);
+    });
+    logger.info('term of the leader begins', {
+      coldLoadsUnderWay: loads.length,
+      coldLoadLimit: learntColdLoadLimit(),
+    });
+  };
+
   const runPlan = (): void => {
     const currentFencing = leaseFencing();
     if (currentFencing !== lastFencing) {
+      if (lastFencing !== undefined) rememberColdLoads();
       applyServers();
       serverStates.forEach(resetServerState);
-      if (currentFencing !== undefined) {
-        coldLoads.restart(learntColdLoadLimit());
-        coverage.restart();
-      }
+      if (currentFencing !== undefined) beginTerm();
     }
     lastFencing = currentFencing;
     if (currentFencing === undefined) return;
@@ -232,9 +270,7 @@
 
   /** Minimum interval between plans; a host with little processor time plans less often. */
   const minimumPlanInterval = (): number =>
-    sharesCapacity
-      ? Math.max(MINIMUM_PLAN_INTERVAL_MILLISECONDS, planMilliseconds / MAX_PLAN_SHARE)
-      : MINIMUM_PLAN_INTERVAL_MILLISECONDS;
+    Math.max(MINIMUM_PLAN_INTERVAL_MILLISECONDS, planMilliseconds / MAX_PLAN_SHARE);
 
   /** Schedules a plan; changes within the minimum interval share one plan. */
   const schedulePlan = (): void => {
@@ -282,6 +318,7 @@
     },
     removeHost: wantBook.remove,
     ensureAdapter,
+    coldLoads: coldLoads.underWay,
     stop: stopPlanTimer,
   };
 }
--- a/packages/loading/src/index.ts
+++ b/packages/loading/src/index.ts
@@ -1,5 +1,6 @@
 /** Decides which server loads which model and sends the orders for it. */
 export { findBackgroundNeeds, type BackgroundInput } from './background.js';
+export type { ColdLoad } from './book.js';
 export {
   createLoadCoordinator,
   type LoadCoordinator,
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -202,6 +202,7 @@
     if (now - (backgroundAt.get(service) ?? -Infinity) < BACKGROUND_INTERVAL_MILLISECONDS)
       return [];
     backgroundAt.set(service, now);
+    coverage.observe({ service, profile: engine, servers: plannedServers, demand, isMissing });
     return findBackgroundNeeds({
       profile: engine,
       servers: plannedServers,
@@ -209,6 +210,8 @@
       isMissing,
       coldLoadLimit,
       isCalm: isCalm(service, engine),
+      coldServers: coldLoads.countServers(),
+      onlyWithoutCopy: !sharesCapacity,
     });
   };
 
@@ -221,17 +224,9 @@
         (waitedModels.has(model) || demand.idleMilliseconds(model) < PROMISE_KEPT_MILLISECONDS));
   };
 
-  /** Input for the parts of a plan that are on only if capacity is shared. */
-  const sharedInput = (service: string, view: ServiceView, coldLoadLimit: number) => ({
-    promises: promises.current(),
-    requestsPerSecond: demand.requestsPerSecond,
-    background: findBackground(service, view, coldLoadLimit),
-  });
-
   const plan = (service: string, wants: readonly Want[]): readonly Outlook[] => {
     const view = viewService(service);
     const { engine, plannedServers, loadsInProgress, isResident, isMissing } = view;
-    coverage.observe({ service, profile: engine, servers: plannedServers, demand, isMissing });
     const knownWants = wants.filter(({ model }) => engine.models.has(model));
     if (sharesCapacity) promises.prune(isPromiseOpen(view, knownWants));
     const promisedWants = sharesCapacity
@@ -245,9 +240,8 @@
       ...findModelsToPreload(service, engine, waitingWants),
     ].filter(({ model }) => isMissing(model));
     const limits = coldLoads.limits(engine);
-    const shared = sharesCapacity
-      ? sharedInput(service, view, limits.maxConcurrentColdLoads ?? 1)
-      : undefined;
+    const coldLoadLimit = limits.maxConcurrentColdLoads ?? 1;
+    const background = findBackground(service, view, coldLoadLimit);
     const loads = planLoads({
       profile: engine,
       servers: plannedServers,
@@ -255,13 +249,14 @@
       creditPerSecond: demand.creditPerSecond,
       idleMilliseconds: demand.idleMilliseconds,
       replicas: findCurrentReplicaNeeds(view),
+      requestsPerSecond: demand.requestsPerSecond,
+      background,
       ...limits,
-      ...shared,
+      ...(sharesCapacity ? { promises: promises.current() } : {}),
     });
     const started = loads.filter(({ startsNow }) => startsNow);
     started.forEach(startLoad);
     const isFull = (limits.coldPlaces ?? []).every((at) => at > 0);
-    const background = shared?.background ?? [];
     const isDemanded = background.some((need) => need.requestsPerSecond !== undefined);
     const isQueued = loads.some(({ cold, startsNow }) => cold && !startsNow);
     // Plans without background needs tell nothing about them.
--- a/packages/loading/test/contention.ts
+++ b/packages/loading/test/contention.ts
@@ -14,6 +14,9 @@
   type Simulation,
 } from './simulation.js';
 
+/** Reports lag and take a while; the plans of a new leader do not wait for them. */
+const REPORT_MILLISECONDS = 150;
+
 interface ContentionWorld extends IWorld {
   capacity: number;
   simulation: Simulation;
@@ -185,6 +188,20 @@
   },
 );
 
+When(
+  /^another host takes the lease, and the former leader (has told|has not told) of its loads$/,
+  function change(this: ContentionWorld, telling: string) {
+    this.simulation.tellsLoads = telling === 'has told';
+    this.simulation.reportMilliseconds = REPORT_MILLISECONDS;
+    this.simulation.changeLeader();
+  },
+);
+
+Then('no model was loaded from the weight store twice', function check(this: ContentionWorld) {
+  const { coldModels } = this.simulation;
+  assert.equal(new Set(coldModels).size, coldModels.length, coldModels.join(' '));
+});
+
 When('this host takes the lease', function takeLease(this: ContentionWorld) {
   this.simulation.holdsLease = true;
 });
