Give models that are asked for in vain for long a place at the weight store

Change: half of the places, one at least, go to the model without a copy that callers have asked for in vain for longest, once that is 10 s and it has about three requests in 30 s; only while an eighth of the servers at most has a cold load, so that small fleets do as before. A new leader counts what is missing at the beginning of its term as missing for that long. Where capacity is shared, promises order the loads as before.

Evidence: contention "A rarely used model is asked for beside many busy ones" fails without the change.

--- a/packages/loading/src/background.ts
+++ b/packages/loading/src/background.ts
@@ -40,7 +40,7 @@
 const IDLE_SERVER_SHARE = 0.5;
 
 /** Returns how many servers may load models without a copy, if no request waits for these. */
-function maxColdServers(servers: number): number {
+export function maxColdServers(servers: number): number {
   return Math.floor(servers * MAX_COLD_SERVER_SHARE);
 }
 
--- a/packages/loading/src/coverage.ts
+++ b/packages/loading/src/coverage.ts
@@ -10,7 +10,7 @@
   readonly service: string;
   readonly profile: EngineProfile;
   readonly servers: readonly PlannedServer[];
-  readonly demand: Pick<DemandTracker, 'idleMilliseconds'>;
+  readonly demand: Pick<DemandTracker, 'idleMilliseconds' | 'requestsPerSecond'>;
   /** Returns whether no server holds or loads the model. */
   readonly isMissing: (model: string) => boolean;
 }
@@ -19,6 +19,11 @@
 export interface Coverage {
   /** Observes a service; logs a line at intervals while models with requests are missing. */
   observe(input: CoverageInput): void;
+  /**
+   * Returns the model of a service without a copy that callers have asked for in vain for longest;
+   * undefined if there is none, or not for long.
+   */
+  longestMissed(service: string): string | undefined;
   /** Forgets what was observed, since another host has been the leader. */
   restart(): void;
 }
@@ -34,28 +39,47 @@
 const REQUESTED_MILLISECONDS = 30_000;
 /** Number of models that a line names, those asked for in vain for longest. */
 const MAX_NAMES = 5;
+/** Time from which a model counts as asked for in vain for long; longer than a load takes. */
+const LONG_MILLISECONDS = 10_000;
+/** Request rate that it must have: three requests, averaged over 30 s. */
+const MIN_REQUESTS_PER_SECOND = 3 / 30;
 
 /** Creates the observation of one leader. */
 export function createCoverage({ clock, logger }: CoverageOptions): Coverage {
   const reportedAt = new Map<string, number>();
   /** When each missing model was first seen with requests. */
   const missedSince = new Map<string, number>();
+  const longestMissed = new Map<string, string>();
 
   const observe = ({ service, profile, servers, demand, isMissing }: CoverageInput): void => {
     const now = clock.monotonic();
-    if (now - (reportedAt.get(service) ?? -Infinity) < REPORT_INTERVAL_MILLISECONDS) return;
-    reportedAt.set(service, now);
+    // An earlier leader may have seen for long what is missing at the beginning of a term.
+    const since = reportedAt.has(service) ? now : now - LONG_MILLISECONDS;
     const missing = [...profile.models.keys()].filter(isMissing);
     const requested = new Set(
       missing.filter((model) => demand.idleMilliseconds(model) < REQUESTED_MILLISECONDS),
     );
     profile.models.forEach((_profile, model) => {
       if (!requested.has(model)) missedSince.delete(model);
-      else if (!missedSince.has(model)) missedSince.set(model, now);
+      else if (!missedSince.has(model)) missedSince.set(model, since);
     });
-    if (requested.size === 0) return;
     const copied = new Set(servers.flatMap(({ inMemory, onDisk }) => [...inMemory, ...onDisk]));
-    const longest = [...requested].sort((a, b) => missedSince.get(a)! - missedSince.get(b)!);
+    const longest = [...requested].sort(
+      (a, b) =>
+        missedSince.get(a)! - missedSince.get(b)! ||
+        demand.requestsPerSecond(b) - demand.requestsPerSecond(a),
+    );
+    const first = longest.find(
+      (model) =>
+        !copied.has(model) &&
+        now - missedSince.get(model)! >= LONG_MILLISECONDS &&
+        demand.requestsPerSecond(model) >= MIN_REQUESTS_PER_SECOND,
+    );
+    if (first === undefined) longestMissed.delete(service);
+    else longestMissed.set(service, first);
+    if (now - (reportedAt.get(service) ?? -Infinity) < REPORT_INTERVAL_MILLISECONDS) return;
+    reportedAt.set(service, now);
+    if (requested.size === 0) return;
     logger.info('models with requests are on no server', {
       service,
       models: profile.models.size,
@@ -70,7 +94,9 @@
 
   return {
     observe,
+    longestMissed: (service) => longestMissed.get(service),
     restart: () => {
+      longestMissed.clear();
       reportedAt.clear();
       missedSince.clear();
     },
--- a/packages/loading/src/plan-input.ts
+++ b/packages/loading/src/plan-input.ts
@@ -96,6 +96,8 @@
   readonly coldSlowdown?: number;
   /** When callers were first told a time, by model. If present, loads keep that order. */
   readonly promises?: ReadonlyMap<string, number>;
+  /** Load that gets a place at the weight store before all wants. */
+  readonly overdue?: BackgroundNeed;
   /** Loads for what is idle after the wants and replicas, in this order. */
   readonly background?: readonly BackgroundNeed[];
   /** Returns the requests per second for a model over tens of seconds. */
--- a/packages/loading/src/plan.ts
+++ b/packages/loading/src/plan.ts
@@ -77,7 +77,7 @@
  * ready for its requests, plus the delay that the evictions cause.
  */
 export function planLoads(input: PlanInput): readonly PlannedLoad[] {
-  const { profile, servers, wants, replicas = [], background = [], promises } = input;
+  const { profile, servers, wants, replicas = [], overdue, background = [], promises } = input;
   const costs = createEvictionCosts(input);
   const coldQueue = createColdQueue(input);
   const { requestsPerSecond = () => 0 } = input;
@@ -175,7 +175,7 @@
 
   const planWant = (want: Want): PlannedLoad[] => {
     const model = profile.models.get(want.model);
-    if (!model) return [];
+    if (!model || reservedModels.has(want.model)) return [];
     const { count, remainingMilliseconds = Infinity } = want;
     const best = findBest(model, { count, savedMilliseconds: UNSERVED_DELAY_MILLISECONDS });
     if (!best) return [];
@@ -249,6 +249,7 @@
   ];
   const compare = promises ? createPromiseOrder(promises) : compareUrgency;
   return [
+    ...(overdue ? planBackground(overdue) : []),
     ...tasks.sort(compare).flatMap(({ plan }) => plan()),
     ...background.flatMap(planBackground),
   ];
--- a/packages/loading/src/service-plan.ts
+++ b/packages/loading/src/service-plan.ts
@@ -8,6 +8,7 @@
 import type { Coverage } from './coverage.js';
 import type { DemandTracker } from './demand.js';
 import { ORDER_OPERATION } from './engine.js';
+import { createOverdueLoads } from './overdue.js';
 import { planLoads } from './plan.js';
 import type {
   BackgroundNeed,
@@ -84,6 +85,7 @@
 export function createServicePlanner(options: ServicePlannerOptions): ServicePlanner {
   const { clock, servers, startingLoads, profile, demand, running, isLimited } = options;
   const { millisecondsUntilOrders, coldLoads, coverage, sharesCapacity, startLoad } = options;
+  const overdueLoads = createOverdueLoads({ coverage, coldLoads, demand });
   const promises = createPromises();
   const backgroundAt = new Map<string, number>();
   /** Since when no request has come, by service; Infinity once one has. */
@@ -242,6 +244,16 @@
     const limits = coldLoads.limits(engine);
     const coldLoadLimit = limits.maxConcurrentColdLoads ?? 1;
     const background = findBackground(service, view, coldLoadLimit);
+    // Promises order the loads otherwise.
+    const overdue = sharesCapacity
+      ? undefined
+      : overdueLoads.find({
+          service,
+          servers: plannedServers.length,
+          isLoading: (model) => loadsInProgress.has(model),
+          isMissing,
+          coldLoadLimit,
+        });
     const loads = planLoads({
       profile: engine,
       servers: plannedServers,
@@ -251,11 +263,14 @@
       replicas: findCurrentReplicaNeeds(view),
       requestsPerSecond: demand.requestsPerSecond,
       background,
+      ...(overdue ? { overdue } : {}),
       ...limits,
       ...(sharesCapacity ? { promises: promises.current() } : {}),
     });
     const started = loads.filter(({ startsNow }) => startsNow);
     started.forEach(startLoad);
+    if (overdue && started.some(({ model }) => model === overdue.model))
+      overdueLoads.recordStart(overdue.model);
     const isFull = (limits.coldPlaces ?? []).every((at) => at > 0);
     const isDemanded = background.some((need) => need.requestsPerSecond !== undefined);
     const isQueued = loads.some(({ cold, startsNow }) => cold && !startsNow);
--- a/packages/loading/test/contention.feature
+++ b/packages/loading/test/contention.feature
@@ -130,6 +130,14 @@
     Then models "absent1 absent2 absent3 absent4" are held
     And at most 2 loads from the weight store ran at once
 
+  # Guards against models with more requests that keep a rarely used one from the weight store for ever.
+  Scenario: A rarely used model is asked for beside many busy ones
+    Given a weight store that serves 2 loads at once
+    And 63 servers with 3 models each and 31 absent models, without shared capacity
+    When absent models 1 to 10 are asked for every 1 s, and model "absent31" every 5 s, by callers with 5 s, for 20 s
+    And absent models 11 to 30 are asked for every 1 s, and model "absent31" every 5 s, by callers with 5 s, for 60 s
+    Then models "absent31" are held
+
   # Guards against a new leader that loads the same models beside the loads of the former one.
   Scenario Outline: The leader changes while servers load models from the weight store
     Given a weight store that serves 2 loads at once
--- a/packages/loading/test/contention.ts
+++ b/packages/loading/test/contention.ts
@@ -96,6 +96,27 @@
   },
 );
 
+When(
+  'absent models {int} to {int} are asked for every {int} s, and model {string} every {int} s, by callers with {int} s, for {int} s',
+  async function ask(
+    this: ContentionWorld,
+    first: number,
+    last: number,
+    often: number,
+    rare: string,
+    seldom: number,
+    timeout: number,
+    seconds: number,
+  ) {
+    const busy = nameModels('absent', last).slice(first - 1);
+    await play(this.simulation, this.capacity, seconds, (now) => {
+      const due = now % (often * 1000) === 0 ? busy : [];
+      const rareDue = now % (seldom * 1000) === 0 ? [rare] : [];
+      [...due, ...rareDue].forEach((model) => request(this.simulation, model, timeout * 1000, 1));
+    });
+  },
+);
+
 When(
   'server {string} restarts empty with its models on its disk',
   function restart(this: ContentionWorld, id: string) {
