--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -175,9 +175,12 @@
   updated.hasForeignOrder = false;
   removeUnloadedAdapters(updated, models);
   const isComplete = pendingOrder !== undefined && showsCompletion(pendingOrder, models);
-  if (pendingOrder && (report.busy || (!isComplete && pendingOrder.isInherited !== true))) return;
+  // What an earlier leader has told of an order may be out of date, unless the report is.
+  const isOutdated =
+    pendingOrder?.isInherited === true &&
+    clock.monotonic() - pendingOrder.startedAt > REPORT_LAG_MILLISECONDS;
+  if (pendingOrder && (report.busy || (!isComplete && !isOutdated))) return;
   if (isComplete) completePendingOrder(updated, clock);
-  // What an earlier leader has told of the order is out of date.
   else delete updated.pendingOrder;
   updated.models = models;
 }
