--- a/packages/entry/test/orders.feature
+++ b/packages/entry/test/orders.feature
@@ -44,3 +44,9 @@
     Given two hosts that contend for the lease for orders
     When the second receives that a leader has learnt a limit of 3 cold loads
     Then the second passes on a limit of 3 cold loads
+
+  # Guards against hubs that drop what a new leader needs to know of the loads under way.
+  Scenario: The loads from the weight store that are under way are passed on
+    Given two hosts that contend for the lease for orders
+    When the second receives that a leader has a cold load of "m1" under way for 2000 ms
+    Then it passes on that the cold load of "m1" is under way
--- a/packages/entry/test/orders.ts
+++ b/packages/entry/test/orders.ts
@@ -262,6 +262,26 @@
   },
 );
 
+When(
+  'the second receives that a leader has a cold load of {string} under way for {int} ms',
+  function receive(this: LeadershipWorld, model: string, milliseconds: number) {
+    const coldLoads = [{ server: 's1', model, milliseconds }];
+    const fencing = Number.MAX_SAFE_INTEGER;
+    this.hosts[1].leadership.receiveLease('x', { fencing, over: false, coldLoads });
+  },
+);
+
+Then(
+  'it passes on that the cold load of {string} is under way',
+  function check(this: LeadershipWorld, model: string) {
+    const { coldLoads = [] } = this.hosts[1].leadership.newestLease()!;
+    assert.deepEqual(
+      coldLoads.map((load) => load.model),
+      [model],
+    );
+  },
+);
+
 When(
   'the second receives that a leader has learnt a limit of {int} cold loads',
   function receive(this: LeadershipWorld, coldLoadLimit: number) {
