Let the relay of the soak lose bytes only as a network can

The host's log shows one send and no failure; the fault "link to a server" was in the mode that drops answers, and when it passed again, later chunks of the same connection went through. TCP never delivers bytes after others that it has lost; whole chunks of a chunked answer were missing, which no receiver can notice. Leaving the mode "delay" let later bytes overtake earlier ones.

Change: a connection whose answers were dropped stays without answers, like one that was cut; data stays behind what is delayed. The checks are as they were, and the faults are no milder: a silent connection instead of a corrupted one.

--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -8,7 +8,7 @@
   SILENCE_OPEN: 'silence-open',
   /** Drops all data of open and new connections, which stay open. */
   CUT: 'cut',
-  /** Forwards data to the target and drops its responses. */
+  /** Forwards data to the target and drops its responses; connections with a dropped one stay so. */
   CUT_ANSWERS: 'cut-answers',
   /** Resets open and new connections. */
   RESET: 'reset',
@@ -26,13 +26,20 @@
   close(): Promise<void>;
 }
 
+interface OpenConnection {
+  silent: boolean;
+  /** Whether a response was dropped; later ones are dropped as well. */
+  answersDropped: boolean;
+  readonly sockets: readonly Socket[];
+}
+
 const LOOPBACK = '127.0.0.1';
 /** Delay of each chunk in {@link RELAY_MODE}.DELAY. */
 const DELAY_MILLISECONDS = 150;
 
 /** Starts a relay on a free loopback port that forwards connections to a loopback port. */
 export async function startRelay(targetPort: number): Promise<RelayStandin> {
-  const openConnections = new Set<{ silent: boolean; readonly sockets: readonly Socket[] }>();
+  const openConnections = new Set<OpenConnection>();
   let mode: RelayMode = RELAY_MODE.PASS;
 
   const relayConnection = (clientSocket: Socket): void => {
@@ -41,7 +48,11 @@
       return;
     }
     const targetSocket = connect(targetPort, LOOPBACK);
-    const connection = { silent: mode === RELAY_MODE.CUT, sockets: [clientSocket, targetSocket] };
+    const connection: OpenConnection = {
+      silent: mode === RELAY_MODE.CUT,
+      answersDropped: false,
+      sockets: [clientSocket, targetSocket],
+    };
     openConnections.add(connection);
     const closeConnection = (): void => {
       openConnections.delete(connection);
@@ -51,10 +62,19 @@
       { from: clientSocket, to: targetSocket },
       { from: targetSocket, to: clientSocket },
     ].forEach(({ from, to }) => {
+      /** Data that is on its way; later data does not overtake it. */
+      const delayed: Buffer[] = [];
       from.on('data', (data) => {
-        if (connection.silent || (mode === RELAY_MODE.CUT_ANSWERS && from === targetSocket)) return;
-        if (mode === RELAY_MODE.DELAY) setTimeout(() => to.write(data), DELAY_MILLISECONDS);
-        else to.write(data);
+        // A connection never delivers bytes after others that were lost.
+        if (mode === RELAY_MODE.CUT_ANSWERS && from === targetSocket)
+          connection.answersDropped = true;
+        if (connection.silent || (connection.answersDropped && from === targetSocket)) return;
+        if (mode !== RELAY_MODE.DELAY && delayed.length === 0) {
+          to.write(data);
+          return;
+        }
+        delayed.push(data);
+        setTimeout(() => to.write(delayed.shift()!), DELAY_MILLISECONDS);
       });
       from.on('close', () => {
         if (!connection.silent) closeConnection();
