--- a/packages/loading/src/cold-loads.ts
+++ b/packages/loading/src/cold-loads.ts
@@ -93,7 +93,7 @@
     return Math.max(1, Math.floor((coldLoadsPerSecond * longest) / MILLISECONDS_PER_SECOND));
   };
 
-  /** Whether a server may execute a load of an earlier leader that this one has not heard of. */
+  /** Whether a server may execute a load of an earlier leader that is not known from its report yet. */
   const mayRunUnknown = (): boolean =>
     clock.monotonic() - restartedAt < MAX_UNKNOWN_MILLISECONDS &&
     [...servers.values()].some(
