--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,6 +13,8 @@
 import {
   createAdmission,
   createBalancing,
+  createConfirmedSend,
+  createEndConfirmation,
   createModelWaits,
   createRequestHandler,
   createServerStates,
@@ -28,6 +30,7 @@
 import { createEraTracker, type Incarnation, type ObjectView } from '@bulrushspar/store';
 import { createPausingControl } from './control.js';
 import { createCrashWatch } from './crashes.js';
+import { createHostQuestion, createServerQuestion } from './ends.js';
 import { createEvacuations, type Evacuations } from './evacuations.js';
 import { createFleet, type Fleet } from './fleet.js';
 import { createForwarding, type Forwarding } from './forward.js';
@@ -62,6 +65,8 @@
 const MAX_ANSWER_MILLISECONDS = 300;
 /** Longest wait for the leader's answer to a reservation. */
 const RESERVATION_TIMEOUT_MILLISECONDS = 300;
+/** Longest wait for a host that has passed on an answer; it answers at once. */
+const UPTIME_TIMEOUT_MILLISECONDS = 300;
 /** Time to wait for the first view from a hub before the host reads the store itself. */
 const FIRST_VIEW_TIMEOUT_MILLISECONDS = 800;
 /** Longest wait of a watch on the host records; they change rarely, so it exceeds the default. */
@@ -409,6 +414,7 @@
     versions,
     evacuations,
     receiveOutlook,
+    sinceStart,
     recordStopping: (name) => relays.recordStopping(name),
   });
 
@@ -508,7 +514,24 @@
     promptParts,
     limits,
     places,
-    send: options.send,
+    send: createConfirmedSend({
+      clock,
+      logger,
+      send: options.send,
+      confirmation: createEndConfirmation({
+        clock,
+        ask: createServerQuestion({
+          report: pausingControl.report,
+          isClosed: (server) =>
+            servers.closedMilliseconds(server.id) > 0 || evacuations.covers(server.failureDomain),
+        }),
+      }),
+      outlivedConnection: createHostQuestion({
+        logger,
+        requestUptime: (peer) =>
+          forwarding.request(peer, MESSAGE.UPTIME, {}, UPTIME_TIMEOUT_MILLISECONDS),
+      }),
+    }),
     streams,
     onNotice: applyNotice,
     balancing,
@@ -555,6 +578,7 @@
     serve,
     openThroughHost: relays.openThroughHost,
     isUsable: relays.isUsable,
+    findPassingHost: relays.findPassingHost,
     stopRelaying: () => {
       isRelayingStopped = true;
       fleet.broadcast(MESSAGE.STOPPING, { host: host.name });
--- a/packages/entry/src/handlers.ts
+++ b/packages/entry/src/handlers.ts
@@ -1,5 +1,6 @@
 /** Handlers for the messages from other hosts. */
 import type { ServerDirectory } from '@bulrushspar/catalogue';
+import type { Stopwatch } from '@bulrushspar/clock';
 import type { LoadCoordinator, Outlook } from '@bulrushspar/loading';
 import type { PeerHandlers } from '@bulrushspar/peer';
 import type { PromptPartTracker } from '@bulrushspar/routing';
@@ -53,6 +54,8 @@
   readonly versions: VersionsKeeper;
   readonly evacuations: Pick<Evacuations, 'applyLost'>;
   readonly receiveOutlook: (outlook: readonly Outlook[]) => void;
+  /** Started when the process of this host started. */
+  readonly sinceStart: Stopwatch;
   /** Called when another host tells that it is stopping. */
   readonly recordStopping: (host: string) => void;
 }
@@ -75,6 +78,7 @@
     versions,
     evacuations,
     receiveOutlook,
+    sinceStart,
     recordStopping,
   } = options;
 
@@ -160,6 +164,7 @@
       // Several hosts may have told the same; each host passes it on once.
       if (promptParts.applyUpdate(message)) fleet().relay(MESSAGE.PROMPT_PARTS, message, from.host);
     },
+    [MESSAGE.UPTIME]: () => sinceStart(),
     [MESSAGE.STOPPING]: (body, from) => {
       const message = body as StoppingMessage;
       recordStopping(message.host);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,6 +3,12 @@
 export { startEntry } from './entry.js';
 export { type Entry, type EntryHost, type EntryOptions, type FleetBounds } from './options.js';
 export { createCrashWatch, type CrashWatchOptions } from './crashes.js';
+export {
+  createHostQuestion,
+  createServerQuestion,
+  type HostQuestionOptions,
+  type ServerQuestionOptions,
+} from './ends.js';
 export {
   createEvacuations,
   type Evacuation,
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -50,6 +50,8 @@
   PROMPT_PARTS: 'prompt-parts',
   /** A server runs a content on which servers may crash, or the run has ended. */
   CONTENT_RUN: 'content-run',
+  /** Requests the time for which the process of a host has run, in milliseconds. */
+  UPTIME: 'uptime',
   /** The sender is stopping, and opens no more connections for other hosts. */
   STOPPING: 'stopping',
 } as const;
--- a/packages/entry/src/options.ts
+++ b/packages/entry/src/options.ts
@@ -5,7 +5,13 @@
 import type { EngineControl } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
 import type { Metrics } from '@bulrushspar/metrics';
-import type { Call, RequestHandler, SendCall, ServerNotice } from '@bulrushspar/serving';
+import type {
+  Call,
+  PassingHost,
+  RequestHandler,
+  SendCall,
+  ServerNotice,
+} from '@bulrushspar/serving';
 import type { EraTracker, ObjectStore, ObjectView } from '@bulrushspar/store';
 import type { Evacuation } from './evacuations.js';
 import type { QuotaTolerance } from './quotas.js';
@@ -96,6 +102,8 @@
   openThroughHost(address: string, signal: AbortSignal): Promise<Socket>;
   /** Whether a connection may be used for a further request. */
   isUsable(socket: Socket): boolean;
+  /** @returns the host through which a connection leads; undefined if it is direct */
+  findPassingHost(socket: Socket): PassingHost | undefined;
   /** Opens no more connections for other hosts, and tells them to leave those that it passes on. */
   stopRelaying(): void;
   /** @returns the connections to servers that this host passes on for other hosts */
--- a/packages/entry/src/relays.ts
+++ b/packages/entry/src/relays.ts
@@ -1,8 +1,9 @@
 /** Connections to servers that hosts open for each other. */
 import type { Socket } from 'node:net';
 import type { ServerEntry, ServerView } from '@bulrushspar/catalogue';
-import type { Clock } from '@bulrushspar/clock';
+import { startMonotonicStopwatch, type Clock } from '@bulrushspar/clock';
 import type { PeerAddress } from '@bulrushspar/peer';
+import type { PassingHost } from '@bulrushspar/serving';
 
 /** A host that can be asked for connections. */
 export interface RelayHost extends PeerAddress {
@@ -21,6 +22,8 @@
   recordStarted(host: string): void;
   /** Whether a connection may be used for a further request. */
   isUsable(socket: Socket): boolean;
+  /** @returns the host through which a connection leads; undefined if it is direct */
+  findPassingHost(socket: Socket): PassingHost | undefined;
   /** @returns the connections that this host passes on for others */
   countRelayed(): number;
   /** Resets the connections that this host passes on, as it ends before they do. */
@@ -66,7 +69,7 @@
   /** Time on the monotonic clock until which each host counts as stopping. */
   const stoppingUntil = new Map<string, number>();
   /** The host that each connection leads through. */
-  const hostOfSocket = new WeakMap<Socket, string>();
+  const hostOfSocket = new WeakMap<Socket, PassingHost>();
 
   const isStopping = (host: string): boolean =>
     (stoppingUntil.get(host) ?? -Infinity) > clock.monotonic();
@@ -94,7 +97,10 @@
           // eslint-disable-next-line no-await-in-loop -- hosts are asked one after another
           const socket = await openTunnel(host, address, limited);
           lastHost = host.host;
-          hostOfSocket.set(socket, host.host);
+          hostOfSocket.set(socket, {
+            host: host.host,
+            sinceOpened: startMonotonicStopwatch(clock),
+          });
           return socket;
         } catch (error) {
           if (lastHost === host.host) lastHost = undefined;
@@ -131,9 +137,10 @@
       stoppingUntil.delete(host);
     },
     isUsable: (socket) => {
-      const host = hostOfSocket.get(socket);
-      return host === undefined || !isStopping(host);
+      const passingHost = hostOfSocket.get(socket);
+      return passingHost === undefined || !isStopping(passingHost.host);
     },
+    findPassingHost: (socket) => hostOfSocket.get(socket),
     countRelayed: () => relayed.size,
     resetRelayed: () => relayed.forEach((socket) => socket.resetAndDestroy()),
   };
--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -15,10 +15,9 @@
   /**
    * Writes the status and the headers.
    * @param headers alternating names and values
-   * @param framed false if only the end of the connection marks the end of the answer, so that a
-   * truncated answer cannot be detected
+   * @param marksEnd false if only the end of the connection marks the end of the answer; true by default
    */
-  writeHead(status: number, headers: readonly string[], framed: boolean): void;
+  writeHead(status: number, headers: readonly string[], marksEnd?: boolean): void;
   /** @returns false if the write buffer is full; the listener of onDrain is called once it drains */
   write(chunk: Buffer): boolean;
   onDrain(action: () => void): void;
@@ -30,7 +29,7 @@
   readonly status: number;
   /** Headers for the caller: alternating names and values. */
   readonly headers: readonly string[];
-  /** Whether the answer marks its own end; otherwise the end of its connection does. */
+  /** Whether the server has marked the end of the answer; otherwise only the end of its connection does. */
   readonly framed: boolean;
 }
 
@@ -145,6 +144,8 @@
       if (!head) throw createNoAnswerError();
       const bodyBytes = buffer.bytes();
       checkEnd(head, bodyBytes);
+      // A server may end a part of an answer in order and live on, so that a length could mark the part as
+      // whole. All of the answer is written at once, so that the end of this host does not cut it.
       const length = head.framed ? ['content-length', String(bodyBytes)] : [];
       writer.writeHead(head.status, [...head.headers, ...length], head.framed);
       const blocks = buffer.blocks();
@@ -185,7 +186,7 @@
   const writeHead = (): void => {
     if (writer.hasBegun() || !head) return;
     onFirstByte();
-    writer.writeHead(head.status, head.headers, head.framed);
+    writer.writeHead(head.status, head.headers);
   };
 
   /** Only the end of its connection marks the end of such a stream, so that it may be a crash. */
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -1,4 +1,5 @@
 import type { Route, ServerEntry } from '@bulrushspar/catalogue';
+import type { Stopwatch } from '@bulrushspar/clock';
 import type { MeasuredWriter, AnswerSink as RelaySink, RelayedHead } from '@bulrushspar/routing';
 
 /** Part of a prompt that other requests may share, so that a server can reuse its cached result. */
@@ -84,6 +85,13 @@
   readonly coldMilliseconds?: number;
 }
 
+/** A host that passes on a connection to a server. */
+export interface PassingHost {
+  readonly host: string;
+  /** Started when the connection was opened. */
+  readonly sinceOpened: Stopwatch;
+}
+
 /** Status and headers of an answer, with what the platform's headers state about it. */
 export interface AnswerHead extends RelayedHead {
   /** Whether the server states that it did not run the request. */
@@ -96,6 +104,8 @@
   readonly callId?: string;
   /** Whether the connection has served another request, whose late answer this may be. */
   readonly isReusedConnection?: boolean;
+  /** Host through which the connection leads; absent if it is direct. */
+  readonly passingHost?: PassingHost;
   readonly load?: ServerLoad;
   readonly notice?: ServerNotice;
   /** Whether the server ends if it must reject too many requests in a short time. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,6 +22,15 @@
   type AttemptRunnerOptions,
   type ActiveRequest,
 } from './attempts.js';
+export {
+  createConfirmedSend,
+  createEndConfirmation,
+  PROCESS_STATE,
+  type ConfirmedSendOptions,
+  type EndConfirmation,
+  type EndConfirmationOptions,
+  type ProcessState,
+} from './ends.js';
 export { createBalancing, type Balancing, type BalancingOptions } from './balance.js';
 export { type BalancedSend } from './observe.js';
 export { countPromptTokens } from './prompts.js';
@@ -32,6 +41,7 @@
   type Attempt,
   type Call,
   type ModelRequirements,
+  type PassingHost,
   type PromptPart,
   type Reply,
   type SendCall,
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -8,6 +8,8 @@
 import {
   createAdmission,
   createBalancing,
+  createConfirmedSend,
+  createEndConfirmation,
   createModelWaits,
   createRequestHandler,
   createServerLimits,
@@ -15,8 +17,10 @@
   createServingMetrics,
   createStreamVersions,
   listGroupServers,
+  PROCESS_STATE,
   type Call,
   type ModelWaits,
+  type ProcessState,
   type Reply,
   type RequestHandler,
   type SendCall,
@@ -65,6 +69,10 @@
   readonly workspaces?: readonly Workspace[];
   /** Limits that servers have named; created for this host by default. */
   readonly limits?: ServerLimits;
+  /** Asks a server process for an answer; by default it answers if it runs. */
+  readonly ask?: (server: ServerProcess) => Promise<ProcessState>;
+  /** Whether a host that passes on a connection has run until its end; true by default. */
+  readonly outlivedConnection?: () => Promise<boolean>;
   /** Failure domains to whose servers nothing may be sent. */
   readonly evacuatedDomains?: () => ReadonlySet<string>;
   /** @returns a number from 0 up to but not including 1; always 0 by default */
@@ -139,6 +147,13 @@
   const { clock, servers, promptParts, send, isLoaded = () => true } = options;
   const { limits = createServerLimits({ clock }), evacuatedDomains = () => new Set() } = options;
   const { ensureAdapter = () => Promise.resolve(true) } = options;
+  const { outlivedConnection = () => Promise.resolve(true) } = options;
+  const logger = { info: () => {}, warn: () => {}, error: () => {} };
+  const askServer = async ({ id, born }: ServerProcess): Promise<ProcessState> => {
+    const server = servers.find((candidate) => candidate.id === id)!;
+    if (!server.isUp) return PROCESS_STATE.UNREACHABLE;
+    return server.born === born ? PROCESS_STATE.ALIVE : PROCESS_STATE.ENDED;
+  };
   const states = createServerStates(clock);
   const streams = createStreamVersions({ clock, isFirstStart: true });
   const waits = createModelWaits({ clock });
@@ -184,7 +199,7 @@
     : undefined;
   const handler = createRequestHandler<Call>({
     clock,
-    logger: { info: () => {}, warn: () => {}, error: () => {} },
+    logger,
     metrics: createServingMetrics(createMetrics()),
     random: options.random ?? (() => 0),
     failureDomain: 'd1',
@@ -211,7 +226,13 @@
     isEvacuated: ({ failureDomain }) => evacuatedDomains().has(failureDomain),
     getStoppingRefusal: () => undefined,
     places,
-    send,
+    send: createConfirmedSend({
+      clock,
+      logger,
+      send,
+      confirmation: createEndConfirmation({ clock, ask: options.ask ?? askServer }),
+      outlivedConnection,
+    }),
   });
   return { handler, waits, places, updateServers };
 }
--- /dev/null
+++ b/packages/serving/test/ends.feature
@@ -0,0 +1,43 @@
+@serving-ends
+Feature: Answers whose end only the end of their connection marks
+  A server ends an answer without a length or chunks, and is asked for its report then.
+
+  # Guards against a part of an answer that looks whole because its server was killed.
+  Scenario Outline: An answer is whole only if its server outlives it
+    Given a server that sends <sent> of an answer without a length
+    And then it <behaves>
+    When a caller asks for <delivery>
+    Then after <ms> ms the caller has <outcome>
+
+    Examples:
+      | sent   | behaves                                          | delivery         | ms   | outcome        |
+      | all    | answers reports                                  | an answer        | 50   | a whole answer |
+      | all    | answers reports                                  | a stream         | 50   | a whole answer |
+      | a part | refuses connections                              | an answer        | 200  | status 502     |
+      | a part | refuses connections                              | a stream         | 200  | a cut answer   |
+      | a part | has another process in its place                 | a stream         | 50   | a cut answer   |
+      | a part | stays silent                                     | an answer        | 1100 | status 502     |
+      | a part | stays silent                                     | a stream         | 1100 | a cut answer   |
+      | all    | refuses one connection and answers reports       | a stream         | 200  | a whole answer |
+      | all    | stays silent, and answers a request sent later   | a stream         | 200  | a whole answer |
+      | a part | stays silent, and answers a request sent before  | a stream         | 1100 | a cut answer   |
+
+  # Guards against a part of an answer that looks whole because the host was killed that passed it on.
+  Scenario Outline: An answer that another host passes on is whole only if that host outlives it
+    Given a server that sends <sent> of an answer without a length
+    And then it answers reports
+    And the host that passes the answer on <behaves>
+    When a caller asks for a stream
+    Then after 400 ms the caller has <outcome>
+
+    Examples:
+      | sent   | behaves                             | outcome        |
+      | all    | has run since before the connection | a whole answer |
+      | a part | has started since                   | a cut answer   |
+
+  Scenario: Many answers that end at one server are confirmed by few questions
+    Given a server that sends all of an answer without a length
+    And then it answers reports
+    When 50 callers ask for a stream at once
+    Then after 200 ms all callers have a whole answer
+    And the server was asked at most 2 times
--- /dev/null
+++ b/packages/serving/test/ends.ts
@@ -0,0 +1,156 @@
+/** Serves answers without a length by a server that lives on or ends after them. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createManualClock, type ManualClock } from '@bulrushspar/clock';
+import { createPromptPartTracker } from '@bulrushspar/routing';
+import { PROCESS_STATE, type AnswerSink, type Call, type ProcessState } from '@bulrushspar/serving';
+import {
+  advance,
+  createAnswer,
+  createReply,
+  createServers,
+  createTestHost,
+  type TestAnswer,
+  type TestHost,
+} from './crashing.js';
+
+interface EndsWorld {
+  clock: ManualClock;
+  host: TestHost;
+  sent: string;
+  /** What the server does once it has ended the answer. */
+  behaviour: string;
+  passingHost?: string;
+  questions: number;
+  answers: TestAnswer[];
+  serve: (delivery: string) => void;
+}
+
+const RUN_MILLISECONDS = 20;
+const QUESTION_MILLISECONDS = 5;
+const SILENCE_MILLISECONDS = 300;
+/** Id of a request that the server answers in chunks, 100 ms after it was sent. */
+const OTHER_CALL = 'other';
+const OTHER_MILLISECONDS = 100;
+const flow = { pause: () => {}, resume: () => {} };
+const ROUTES: Readonly<Record<string, object>> = {
+  'an answer': { kind: 'once', attempts: 1, resumable: false },
+  'a stream': { kind: 'stream', attempts: 1, resumable: false },
+};
+
+const createCall = (id: string): Call => ({
+  id,
+  host: 'example',
+  path: '/r/1',
+  fingerprint: () => id,
+});
+
+const createHead = ({ clock, passingHost }: EndsWorld, framed: boolean) => ({
+  status: 200,
+  notRun: false,
+  misdirected: false,
+  signed: true,
+  framed,
+  headers: [],
+  ...(passingHost === undefined
+    ? {}
+    : { passingHost: { host: 'b', sinceOpened: () => clock.monotonic() } }),
+});
+
+async function answer(world: EndsWorld, call: Call, sink: AnswerSink): Promise<void> {
+  const { clock, sent } = world;
+  const isOther = call.id === OTHER_CALL;
+  await clock.delay(isOther ? OTHER_MILLISECONDS : RUN_MILLISECONDS);
+  sink.onHead(createHead(world, isOther), flow);
+  sink.onData(Buffer.from('id: 1\ndata: 1\n\n'));
+  if (sent === 'all') sink.onData(Buffer.from('id: 2\ndata: 2\n\n'));
+}
+
+async function ask(world: EndsWorld): Promise<ProcessState> {
+  const { clock, behaviour } = world;
+  const questions = world.questions + 1;
+  Object.assign(world, { questions });
+  await clock.delay(
+    behaviour.startsWith('stays silent') ? SILENCE_MILLISECONDS : QUESTION_MILLISECONDS,
+  );
+  if (behaviour.startsWith('stays silent')) return PROCESS_STATE.UNKNOWN;
+  if (behaviour === 'refuses connections') return PROCESS_STATE.UNREACHABLE;
+  if (behaviour === 'has another process in its place') return PROCESS_STATE.ENDED;
+  if (behaviour.startsWith('refuses one connection') && questions === 1)
+    return PROCESS_STATE.UNREACHABLE;
+  return PROCESS_STATE.ALIVE;
+}
+
+Given(
+  /^a server that sends (all|a part) of an answer without a length$/,
+  function create(this: EndsWorld, sent: string) {
+    const clock = createManualClock();
+    Object.assign(this, { clock, sent, questions: 0, answers: [] });
+  },
+);
+
+Given(/^then it (.+)$/, function behave(this: EndsWorld, behaviour: string) {
+  this.behaviour = behaviour;
+});
+
+Given(
+  /^the host that passes the answer on (.+)$/,
+  function behave(this: EndsWorld, behaviour: string) {
+    this.passingHost = behaviour;
+  },
+);
+
+function start(world: EndsWorld, delivery: string): void {
+  const { clock, passingHost } = world;
+  const host = createTestHost({
+    clock,
+    servers: createServers(1),
+    promptParts: createPromptPartTracker({ clock }),
+    route: ROUTES[delivery]!,
+    send: (call, _attempt, sink) => answer(world, call, sink),
+    ask: () => ask(world),
+    outlivedConnection: async () => passingHost !== 'has started since',
+  });
+  Object.assign(world, { host });
+}
+
+const serve = ({ host }: EndsWorld, id: string): TestAnswer => {
+  const received = createAnswer();
+  host.handler(createCall(id), createReply(received)).catch(assert.fail);
+  return received;
+};
+
+When(
+  /^a caller asks for (an answer|a stream)$/,
+  async function call(this: EndsWorld, delivery: string) {
+    start(this, delivery);
+    if (this.behaviour.endsWith('sent before')) serve(this, OTHER_CALL);
+    this.answers.push(serve(this, 'call'));
+    if (!this.behaviour.endsWith('sent later')) return;
+    await advance(this.clock, RUN_MILLISECONDS * 2);
+    serve(this, OTHER_CALL);
+  },
+);
+
+When('{int} callers ask for a stream at once', function call(this: EndsWorld, count: number) {
+  start(this, 'a stream');
+  for (let index = 0; index < count; index += 1) this.answers.push(serve(this, `call-${index}`));
+});
+
+const describe = ({ status, isBroken, isEnded }: TestAnswer): string => {
+  if (isBroken) return 'a cut answer';
+  if (status === 200) return isEnded ? 'a whole answer' : 'a part of an answer';
+  return `status ${status}`;
+};
+
+Then(
+  /^after (\d+) ms (?:the caller has|all callers have) (.+)$/,
+  async function check(this: EndsWorld, milliseconds: string, outcome: string) {
+    await advance(this.clock, Number(milliseconds));
+    assert.deepEqual([...new Set(this.answers.map(describe))], [outcome]);
+  },
+);
+
+Then('the server was asked at most {int} times', function check(this: EndsWorld, most: number) {
+  assert.ok(this.questions <= most, `${this.questions} questions`);
+});
