--- a/packages/loading/src/adapters.ts
+++ b/packages/loading/src/adapters.ts
@@ -46,7 +46,7 @@
 
   const waitForReplacement = async (state: ServerState): Promise<void> => {
     const deadline = clock.monotonic() + REPLACEMENT_WAIT_MILLISECONDS;
-    while (isReplacingModels(state) && clock.monotonic() < deadline) {
+    while (isReplacingModels(state) && !state.entry.leaving && clock.monotonic() < deadline) {
       // eslint-disable-next-line no-await-in-loop -- polls sequentially
       await clock.delay(POLL_INTERVAL_MILLISECONDS);
     }
@@ -70,6 +70,8 @@
     adapter: string,
   ): Promise<boolean> => {
     await waitForReplacement(state);
+    // A server that is leaving may have left before it takes the order.
+    if (state.entry.leaving && isReplacingModels(state)) return false;
     const held = state.models.get(model);
     if (!held) return false;
     if (held.has(adapter)) return true;
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -40,6 +40,14 @@
     Then no order exceeded the server's capacity
     And the server holds 8 adapters
 
+  # Guards against requests that wait for an adapter until the server has left that loads a model.
+  Scenario: An adapter is refused once a server that loads a model begins to leave
+    Given a server and its coordinator
+    And unloads take 5000 ms
+    When requests wait for "d" for 1 s
+    And adapter "1" of "a" is requested, and the server begins to leave after 100 ms
+    Then the request for the adapter is refused after 100 to 200 ms
+
   Scenario: A load ordered by the former coordinator is still in progress
     Given a server that executes the former coordinator's load of "c" for another 1.5 s
     And its coordinator
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -26,6 +26,8 @@
   evacuatedServers: ReadonlySet<string> | undefined;
   /** Reports and orders to evacuated servers. */
   forbiddenCalls: number;
+  /** Outcome and duration of the last request for an adapter. */
+  adapterRequest: { readonly isAccepted: boolean; readonly milliseconds: number };
   holdsLease: boolean;
   sharesCapacity: boolean | undefined;
 }
@@ -421,6 +423,35 @@
   },
 );
 
+When(
+  'adapter {string} of {string} is requested, and the server begins to leave after {int} ms',
+  async function requestAdapter(
+    this: CoordinatorWorld,
+    adapter: string,
+    model: string,
+    milliseconds: number,
+  ) {
+    const { clock, coordinator, fakeEngine } = this;
+    const requestedAt = clock.monotonic();
+    const request = coordinator.ensureAdapter('s1', model, adapter).then((isAccepted) => {
+      this.adapterRequest = { isAccepted, milliseconds: clock.monotonic() - requestedAt };
+    });
+    await clock.advance(milliseconds);
+    coordinator.setServers(new Map([['s1', { ...fakeEngine.entry(), leaving: true }]]));
+    await clock.advance(3000);
+    await request;
+  },
+);
+
+Then(
+  'the request for the adapter is refused after {int} to {int} ms',
+  function check(this: CoordinatorWorld, least: number, most: number) {
+    const { isAccepted, milliseconds } = this.adapterRequest;
+    assert.equal(isAccepted, false);
+    assert.ok(milliseconds >= least && milliseconds <= most, `${milliseconds} ms`);
+  },
+);
+
 When('the server restarts', async function restart(this: CoordinatorWorld) {
   this.fakeEngine.restart();
   await this.clock.advance(ENTRY_LAG_MILLISECONDS + STEP_MILLISECONDS);
--- a/packages/serving/src/attempts.ts
+++ b/packages/serving/src/attempts.ts
@@ -72,6 +72,8 @@
 
 /** Maximum number of sends of one request, including those rejected without running it. */
 const MAX_SENDS = 5;
+/** Maximum number of selections for one attempt; each further one follows a server that left during a wait. */
+const MAX_SELECTIONS = 5;
 /** Time for which a server that was unreachable is avoided. */
 const UNREACHABLE_AVOID_MILLISECONDS = 1000;
 /** Time for which a server that rejected a request is avoided by the next attempt. */
@@ -96,7 +98,7 @@
 ): AttemptRunner<SomeCall> {
   const { clock, logger, metrics, servers, limits, budget, crashGuard, send, streams } = options;
   const { getStoppingRefusal, onNotice = () => {}, balancing } = options;
-  const prepareServer = createServerPreparation<SomeCall>(options);
+  const preparation = createServerPreparation<SomeCall>(options);
 
   const changeOutstanding = (
     state: ServerState,
@@ -171,6 +173,7 @@
           lastEventId: relay.lastEventId(),
           // An earlier answer to this request could come on a connection that has served it.
           requiresNewConnection: !isRetryable(route) || request.sendCount > 1,
+          maySend: () => preparation.mayReceive(request, state),
         },
         {
           onHead: (head, flow) => {
@@ -277,6 +280,7 @@
       notRun: rejected || notSent,
       why: errorMessage(error),
     });
+    if (isExchangeError(error) && error.fault === EXCHANGE_FAULT.WITHDRAWN) return;
     const connectionLost = isExchangeError(error) && error.fault === EXCHANGE_FAULT.CUT;
     if (notSent || connectionLost) limits.recordUnreachable(state.entry);
     if (rejected || notSent) {
@@ -310,6 +314,30 @@
       : createNoServerRefusal(request.admitted.service);
   };
 
+  /** Prepares a server and begins a run there, until one may receive the request after all waits. */
+  const prepareRun = async (
+    request: ActiveRequest<SomeCall>,
+    wasLost: boolean,
+  ): Promise<ServerState> => {
+    for (let count = 0; count < MAX_SELECTIONS; count += 1) {
+      /* eslint-disable no-await-in-loop -- the selections run in sequence */
+      const state = await preparation.prepare(request);
+      // A first run that begins now might not end before this host does; another host can begin it.
+      const stopping = request.possibleRunCount === 0 ? getStoppingRefusal() : undefined;
+      if (stopping) throw stopping;
+      Object.assign(request, { endRun: await crashGuard.beginRun(request, wasLost) });
+      /* eslint-enable no-await-in-loop */
+      if (preparation.mayReceive(request, state)) return state;
+      endRun(request);
+      logger.info('selected server may not receive the request any more', {
+        request: request.call.id,
+        server: state.entry.id,
+        isLeaving: state.entry.leaving,
+      });
+    }
+    throw createNoServerRefusal(request.admitted.service);
+  };
+
   /**
    * Selects and prepares a server for the next attempt. Once an earlier attempt may have run the
    * request, a refusal must not claim that it has not run.
@@ -322,11 +350,7 @@
       // A request that waits or was lost may be blocked by crashes that came after its admission.
       const wasLost = request.possibleRunCount > 0;
       if (wasLost) crashGuard.check(request, wasLost);
-      const state = await prepareServer(request);
-      // A first run that begins now might not end before this host does; another host can begin it.
-      const stopping = request.possibleRunCount === 0 ? getStoppingRefusal() : undefined;
-      if (stopping) throw stopping;
-      Object.assign(request, { endRun: await crashGuard.beginRun(request, wasLost) });
+      const state = await prepareRun(request, wasLost);
       chargeRetryBudget(request, lastError);
       return state;
     } catch (error) {
--- a/packages/serving/src/call.ts
+++ b/packages/serving/src/call.ts
@@ -59,6 +59,11 @@
    * request must not be sent again, or may bring an earlier answer to the same request.
    */
   readonly requiresNewConnection: boolean;
+  /**
+   * Asked right before the request is sent: whether the server may still receive it, which may have begun
+   * to leave meanwhile.
+   */
+  readonly maySend: () => boolean;
 }
 
 /** Load that a server reports with an answer. */
--- a/packages/serving/src/prepare.ts
+++ b/packages/serving/src/prepare.ts
@@ -49,20 +49,27 @@
   readonly cacheTokensOf?: (service: string) => number | undefined;
 }
 
-/** Resolves to a server that can receive the request now; rejects with the refusal that ends it. */
-export type PrepareServer<SomeCall extends Call> = (
-  request: ActiveRequest<SomeCall>,
-) => Promise<ServerState>;
+/** Prepares the servers of one host's attempts. */
+export interface ServerPreparation<SomeCall extends Call> {
+  /** Resolves to a server that can receive the request; rejects with the refusal that ends it. */
+  prepare(request: ActiveRequest<SomeCall>): Promise<ServerState>;
+  /**
+   * Whether a server that was prepared may receive the request now: the waits since its selection can last
+   * for seconds, and it may have left, closed to this host, or have been ordered to unload the model
+   * meanwhile.
+   */
+  mayReceive(request: ActiveRequest<SomeCall>, state: ServerState): boolean;
+}
 
 /** Time that a server needs to load an adapter after it has accepted the order. */
 const ADAPTER_LOAD_MILLISECONDS = 12;
 /** Delay before a request is sent again to a server when no untried one can receive it. */
 const SAME_SERVER_RETRY_DELAY_MILLISECONDS = 20;
 
-/** Creates the function that prepares the servers of one host's attempts. */
+/** Creates the preparation of one host. */
 export function createServerPreparation<SomeCall extends Call>(
   options: ServerPreparationOptions,
-): PrepareServer<SomeCall> {
+): ServerPreparation<SomeCall> {
   const { clock, logger, metrics, random, failureDomain, servers } = options;
   const { waits, limits, streams, ensureAdapter } = options;
   const { balancing, cacheTokensOf = () => undefined } = options;
@@ -289,10 +296,20 @@
   const prepareServer = async (request: ActiveRequest<SomeCall>): Promise<ServerState> => {
     const state = await selectPreparedServer(request);
     const isReserved = await awaitReservation(request, state);
-    // A refused reservation shows when the server has time, so that another selection avoids it. An
-    // evacuation may have begun while the request waited.
-    return isReserved && !isEvacuated(state.entry) ? state : prepareServer(request);
+    // A refused reservation shows when the server has time, so that another selection avoids it.
+    return isReserved ? state : prepareServer(request);
   };
 
-  return prepareServer;
+  return {
+    prepare: prepareServer,
+    mayReceive: ({ call: { requirements } }, state) => {
+      const { entry } = state;
+      // A state that is not current is that of a process that is gone from the list.
+      if (servers.get(entry.id) !== state || isEvacuated(entry)) return false;
+      if (servers.closedMilliseconds(entry.id) > 0) return false;
+      return requirements
+        ? servers.canServeModel(state, requirements.model)
+        : acceptsRequests(entry);
+    },
+  };
 }
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -54,6 +54,8 @@
   ABORTED: 'aborted',
   /** Another server than the expected one has answered at the address. */
   REPLACED: 'replaced',
+  /** `maySend` has refused the call once its connection was open. */
+  WITHDRAWN: 'withdrawn',
 } as const;
 
 /** One of {@link EXCHANGE_FAULT}. */
@@ -74,6 +76,8 @@
   readonly signal: AbortSignal;
   /** Milliseconds without data from the target after which it counts as silent. */
   readonly silenceMilliseconds: number;
+  /** Asked right before the first byte is sent, as a connection may take long to open; true by default. */
+  readonly maySend?: () => boolean;
 }
 
 const SILENCE_CHECKS_PER_TIMEOUT = 4;
@@ -101,6 +105,7 @@
  */
 export function exchange(options: ExchangeOptions): Promise<void> {
   const { dispatcher, call, receiver, signal, silenceMilliseconds } = options;
+  const { maySend = () => true } = options;
   return new Promise((resolve, reject) => {
     let progress: ExchangeProgress = EXCHANGE_PROGRESS.NOT_SENT;
     let fault: ExchangeFault = EXCHANGE_FAULT.CUT;
@@ -161,7 +166,8 @@
         onRequestStart: (controller) => {
           requestController = controller;
           if (hasEnded) controller.abort(new Error('call already ended'));
-          else progress = EXCHANGE_PROGRESS.SENT;
+          else if (maySend()) progress = EXCHANGE_PROGRESS.SENT;
+          else abort(EXCHANGE_FAULT.WITHDRAWN);
         },
         onResponseStart: (controller, status, headers) => {
           if (status < FIRST_FINAL_STATUS) return;
--- a/packages/targets/test/contract.feature
+++ b/packages/targets/test/contract.feature
@@ -48,3 +48,9 @@
       | dedicated client | silent             | silent, sent          | 1    |
       | dedicated client | connection refused | unreachable, not-sent | 0    |
       | connection pool  | connection refused | unreachable, not-sent | 0    |
+
+    # Guards against calls that are sent to a server that has left while their connection opened.
+    Examples: withdrawn calls
+      | adapter          | fault              | outcome               | runs |
+      | connection pool  | withdrawal         | withdrawn, not-sent   | 0    |
+      | dedicated client | withdrawal         | withdrawn, not-sent   | 0    |
--- a/packages/targets/test/contract.ts
+++ b/packages/targets/test/contract.ts
@@ -217,7 +217,11 @@
   this.service.executedCalls.length = 0;
 });
 
-async function callService(world: TargetWorld, dispatcher: Dispatcher): Promise<string> {
+async function callService(
+  world: TargetWorld,
+  dispatcher: Dispatcher,
+  maySend: () => boolean = () => true,
+): Promise<string> {
   let text = '';
   try {
     await exchange({
@@ -231,6 +235,7 @@
       },
       signal: new AbortController().signal,
       silenceMilliseconds: SILENCE_MILLISECONDS,
+      maySend,
     });
     return text.includes(`"number":${world.service!.executedCalls.length}`) ? 'whole' : text;
   } catch (error) {
@@ -240,13 +245,18 @@
   }
 }
 
+/** The call may not be sent any more once its connection is open. */
+const WITHDRAWAL = 'withdrawal';
+
 When(
   'a call to the service is subject to {string}',
   async function runWithFault(this: TargetWorld, fault: string) {
     const { service, connections } = this;
     if (fault === 'connection refused') await service!.close();
-    else if (fault !== 'none') service!.setFault(() => fault as ServiceFault);
-    this.outcome = await callService(this, this.pickDispatcher(connections!));
+    else if (fault !== 'none' && fault !== WITHDRAWAL)
+      service!.setFault(() => fault as ServiceFault);
+    const maySend = (): boolean => fault !== WITHDRAWAL;
+    this.outcome = await callService(this, this.pickDispatcher(connections!), maySend);
   },
 );
 
