--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -305,6 +305,7 @@
   const configurationFollower = createKindFollower({
     ...followerOptions,
     kind: kinds.configuration,
+    stalenessMilliseconds: bounds.configurationMilliseconds,
     awaitsFirstView: awaitsHubView,
     rankOf: rankConfiguration,
     onView: applyConfiguration,
@@ -312,6 +313,7 @@
   const serverFollower = createKindFollower({
     ...followerOptions,
     kind: kinds.servers,
+    stalenessMilliseconds: bounds.departureMilliseconds,
     awaitsFirstView: awaitsHubView,
     batchMilliseconds: SERVER_BATCH_MILLISECONDS,
     onView: applyServerEntries,
--- a/packages/entry/src/options.ts
+++ b/packages/entry/src/options.ts
@@ -36,6 +36,10 @@
   readonly retryWindowMilliseconds: number;
   /** Minimum time between orders of two hosts to the same server. */
   readonly handoverMilliseconds: number;
+  /** Time in which an acknowledged configuration must be in force. */
+  readonly configurationMilliseconds?: number;
+  /** Time for which a server serves after the store has accepted that it leaves. */
+  readonly departureMilliseconds?: number;
   /** Tolerance of the limit on the requests that a cold server receives in a second. */
   readonly cold?: { readonly overshoot: number; readonly slack: number };
 }
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -12,6 +12,7 @@
   type StoredObject,
 } from '@bulrushspar/store';
 import { MESSAGE, type ChangesMessage, type PullAnswer, type PullMessage } from './messages.js';
+import { CHECK_INTERVAL_MILLISECONDS, computeWatchTimes } from './staleness.js';
 
 /**
  * Replicates all objects of one kind. A few hosts watch the store and broadcast the changes. A host
@@ -66,7 +67,12 @@
   readonly rankOf?: (value: unknown) => number;
   /** Whether to wait for the first view from another host instead of reading the store. */
   readonly awaitsFirstView?: () => boolean;
-  /** Longest wait of one watch, in seconds; a silent store is detected one second later. */
+  /**
+   * Time in which a change must reach this host if any host reaches the store, in milliseconds; 3.4 s by
+   * default.
+   */
+  readonly stalenessMilliseconds?: number | undefined;
+  /** Longest wait of one watch, in seconds; it follows from the staleness by default. */
   readonly watchSeconds?: number;
   /** Pause after a watch that returned changes, to batch further ones, in milliseconds. */
   readonly batchMilliseconds?: number;
@@ -74,19 +80,15 @@
 
 /** Number of hosts that watch each kind; with 2, one keeps watching while the other is replaced. */
 const WATCHERS_PER_KIND = 2;
-/** Time beyond the wait of a watch after which it is not valid; the store's longest answer time. */
+/** Time beyond the given wait of a watch after which it is not valid; the store's longest answer time. */
 const ANSWER_MARGIN_MILLISECONDS = 1200;
 const MILLISECONDS_PER_SECOND = 1000;
 /** Time allowed for a broadcast change to arrive before the objects are pulled. */
 const PROPAGATION_MILLISECONDS = 250;
-/** Batch pause of a standby watcher, which receives most changes earlier from the first watcher. */
-const STANDBY_BATCH_MILLISECONDS = 1000;
 /** Time after which a standby watcher broadcasts a change not received from another host. */
 const STANDBY_BROADCAST_MILLISECONDS = 100;
 const PULL_TIMEOUT_MILLISECONDS = 1000;
 const MAX_RETRY_DELAY_MILLISECONDS = 800;
-/** Interval of the checks whether this host must watch. */
-const CHECK_INTERVAL_MILLISECONDS = 100;
 /** Consecutive checks without need after which a watching host stops. */
 const CHECKS_BEFORE_STOPPING = 10;
 /** Time after an outage within which entries reappear in the store. */
@@ -109,9 +111,13 @@
 export function createKindFollower(options: KindFollowerOptions): KindFollower {
   const { kind, store, clock, logger, countBetterRankedWatchers, onView, onChanges } = options;
   const { onStoreRecovered = () => {}, awaitsFirstView = () => false } = options;
-  const { watchSeconds = 1, batchMilliseconds = 0, rankOf, eras = createEraTracker() } = options;
-  const answerTimeoutMilliseconds =
-    watchSeconds * MILLISECONDS_PER_SECOND + ANSWER_MARGIN_MILLISECONDS;
+  const { batchMilliseconds = 0, rankOf, eras = createEraTracker() } = options;
+  const times = computeWatchTimes(options.stalenessMilliseconds);
+  const { watchSeconds = times.watchMilliseconds / MILLISECONDS_PER_SECOND } = options;
+  const validMilliseconds =
+    options.watchSeconds === undefined
+      ? times.validMilliseconds
+      : watchSeconds * MILLISECONDS_PER_SECOND + ANSWER_MARGIN_MILLISECONDS;
   let view = new Map<string, StoredObject>();
   /** Digest of the view; undefined until it is needed after a change. */
   let digest: string | undefined;
@@ -123,8 +129,7 @@
   let sinceAnswer: Stopwatch | undefined;
   let sinceRecovered: Stopwatch | undefined;
 
-  const isWatching = (): boolean =>
-    sinceAnswer !== undefined && sinceAnswer() < answerTimeoutMilliseconds;
+  const isWatching = (): boolean => sinceAnswer !== undefined && sinceAnswer() < validMilliseconds;
   const mustWatch = (): boolean =>
     changedAt === 0 ? !awaitsFirstView() : countBetterRankedWatchers(kind) < WATCHERS_PER_KIND;
 
@@ -243,7 +248,7 @@
       signal,
       watchSeconds,
       batchDelayMilliseconds: () =>
-        countBetterRankedWatchers(kind) === 0 ? batchMilliseconds : STANDBY_BATCH_MILLISECONDS,
+        countBetterRankedWatchers(kind) === 0 ? batchMilliseconds : times.standbyPauseMilliseconds,
       maxRetryDelayMilliseconds: MAX_RETRY_DELAY_MILLISECONDS,
       onAnswer,
       onFailure,
--- a/packages/entry/test/source.feature
+++ b/packages/entry/test/source.feature
@@ -25,6 +25,27 @@
       | is silent for | 1         | 300  |
       | is silent for | 1 2       | 4000 |
 
+  # Guards against a withdrawn key that stays in force as the hosts that read the configuration lost the store.
+  Scenario Outline: A change reaches the others in time, whenever its watchers lose the store
+    Given four hosts that follow one kind, whose changes must arrive within <most> ms
+    When 5 s pass without a change
+    Then a change reaches hosts "3 4" within <most> ms, whenever hosts "1 2" lose the store before it
+
+    Examples:
+      | most |
+      | 2000 |
+      | 3000 |
+      | 9000 |
+
+  Scenario: Watchers of a kind whose changes must arrive soon stay the same while the store is slow
+    Given four hosts that follow one kind, whose changes must arrive within 2000 ms
+    When 5 s pass without a change
+    And the store answers 200 ms later
+    And 5 s pass without a change
+    Then 2 hosts watch the store
+    And a change reaches all hosts within 1000 ms
+    And 2 hosts watch the store
+
   Scenario: A host without links watches the store itself
     Given four hosts that follow one kind
     When 5 s pass without a change
--- a/packages/entry/test/source.ts
+++ b/packages/entry/test/source.ts
@@ -23,6 +23,10 @@
   stopping: AbortController;
   changeCount: number;
   copy: StoreCopy;
+  /** Time in which changes must arrive; the default of the followers if it is undefined. */
+  stalenessMilliseconds: number | undefined;
+  /** Time by which the store answers later than usual. */
+  slowMilliseconds: number;
 }
 
 interface FollowingHost {
@@ -43,7 +47,13 @@
 const CONFIGURATION = 'configuration';
 const STATE_INTERVAL_MILLISECONDS = 200;
 const STEP_MILLISECONDS = 20;
+const WATCH_MARGIN_MILLISECONDS = 1000;
 const SECOND_MILLISECONDS = 1000;
+/** Times of a loss of the store after which a change is made, and their distance. */
+const PHASES = 40;
+const PHASE_MILLISECONDS = 37;
+/** Time until the watchers are the first two hosts again. */
+const HEALING_MILLISECONDS = 6000;
 
 const getConfigurationVersion = (value: unknown): number =>
   typeof value === 'object' ? ((value as { version?: number } | null)?.version ?? 0) : 0;
@@ -91,11 +101,16 @@
     remove: (key, expected) => date(world.store.remove(key, expected)),
     list: (kind) => date(withFault(() => world.store.list(kind), 700)),
     watch: async (kind, after, seconds, signal) => {
+      const timeoutAt =
+        world.clock.monotonic() + seconds * SECOND_MILLISECONDS + WATCH_MARGIN_MILLISECONDS;
       const answer = await withFault(
         () => watchWithManualClock(world, kind, after, seconds, signal),
         2000,
       );
-      // A fault during the wait makes the watch fail.
+      await world.clock.delay(world.slowMilliseconds);
+      // A fault during the wait makes the watch fail; silence shows only after its margin.
+      if (host().fault === 'is silent for')
+        await world.clock.delay(Math.max(0, timeoutAt - world.clock.monotonic()), signal);
       if (host().fault !== undefined) throw createStoreError(EFFECT.UNKNOWN, 'cut');
       return { era: 1 + world.store.era(), answer };
     },
@@ -126,6 +141,7 @@
     store: createFaultyStore(world, () => host, eras),
     eras,
     rankOf: getConfigurationVersion,
+    stalenessMilliseconds: world.stalenessMilliseconds,
     clock: world.clock,
     logger: { info: () => {}, warn: () => {}, error: () => {} },
     countBetterRankedWatchers: () =>
@@ -171,16 +187,34 @@
     world.clock.after(STATE_INTERVAL_MILLISECONDS, () => exchangeStates(world));
 }
 
-Given('four hosts that follow one kind', async function open(this: FollowerWorld) {
+async function startHosts(world: FollowerWorld, stalenessMilliseconds?: number): Promise<void> {
+  const changed = world;
   const clock = createManualClock();
   const store = createMemoryStore();
-  Object.assign(this, { clock, store, stopping: new AbortController(), changeCount: 0, hosts: [] });
-  this.hosts = [1, 2, 3, 4].map((number) => createHost(this, number));
-  this.hosts.forEach(({ follower }) => {
-    follower.run(this.stopping.signal).catch(() => {});
+  const stopping = new AbortController();
+  Object.assign(world, { clock, store, stopping, changeCount: 0, hosts: [] });
+  Object.assign(world, { stalenessMilliseconds, slowMilliseconds: 0 });
+  changed.hosts = [1, 2, 3, 4].map((number) => createHost(world, number));
+  world.hosts.forEach(({ follower }) => {
+    follower.run(stopping.signal).catch(() => {});
   });
-  exchangeStates(this);
-  await writeChange(this);
+  exchangeStates(world);
+  await writeChange(world);
+}
+
+Given('four hosts that follow one kind', async function open(this: FollowerWorld) {
+  await startHosts(this);
+});
+
+Given(
+  'four hosts that follow one kind, whose changes must arrive within {int} ms',
+  async function open(this: FollowerWorld, milliseconds: number) {
+    await startHosts(this, milliseconds);
+  },
+);
+
+When('the store answers {int} ms later', function slow(this: FollowerWorld, milliseconds: number) {
+  this.slowMilliseconds = milliseconds;
 });
 
 After('@source', function stop(this: FollowerWorld) {
@@ -208,6 +242,31 @@
   },
 );
 
+const findHosts = ({ hosts }: FollowerWorld, numbers: string): readonly FollowingHost[] =>
+  numbers.split(' ').map((number) => hosts[Number(number) - 1]!);
+
+Then(
+  'a change reaches hosts {string} within {int} ms, whenever hosts {string} lose the store before it',
+  async function reach(this: FollowerWorld, numbers: string, most: number, lost: string) {
+    const { clock } = this;
+    /* eslint-disable no-await-in-loop -- time advances in steps */
+    for (let phase = 0; phase < PHASES; phase += 1) {
+      await clock.advance(HEALING_MILLISECONDS + phase * PHASE_MILLISECONDS);
+      findHosts(this, lost).forEach((host) => Object.assign(host, { fault: 'is silent for' }));
+      const name = await writeChange(this);
+      await clock.advance(most);
+      const missing = findHosts(this, numbers).filter(({ viewNames }) => !viewNames.includes(name));
+      assert.deepEqual(
+        missing.map(({ number }) => number),
+        [],
+        `phase ${phase}`,
+      );
+      findHosts(this, lost).forEach((host) => Object.assign(host, { fault: undefined }));
+    }
+    /* eslint-enable no-await-in-loop */
+  },
+);
+
 When('the store answers all hosts again', function heal(this: FollowerWorld) {
   this.hosts.forEach((host) => Object.assign(host, { fault: undefined }));
 });
