Count the time of a server that leaves from when it may have begun (DRAIN)

A host that learns 1.8 s late that a server leaves, as the watchers were cut off, counted the 1 s in which it may use it as the last one with a model from then on. Requests could reach it 2.8 s after its report; 2 s are allowed.

Change: views of a kind come with the longest time since their changes were made: the time between the last two answers of the store, told with the changes (field "age", absent in older builds, which counts as 0), or unknown after a list or a pull. The time of a server that leaves begins so much earlier.

--- a/packages/catalogue/src/servers.ts
+++ b/packages/catalogue/src/servers.ts
@@ -48,8 +48,11 @@
 
 /** Keeps the current servers, also while the server list is unavailable. */
 export interface ServerDirectory {
-  /** Replaces the listed entries. */
-  update(entries: ServerView): void;
+  /**
+   * Replaces the listed entries.
+   * @param ageMilliseconds longest time since they changed; 0 by default
+   */
+  update(entries: ServerView, ageMilliseconds?: number): void;
   /** Records that an outage of the list has just ended, so that live servers may still be missing. */
   recordOutage(): void;
   /**
@@ -71,7 +74,7 @@
 export interface ServerDirectoryOptions {
   readonly clock: Clock;
   /** Called after each update of the servers. */
-  readonly onChange?: (servers: ServerView) => void;
+  readonly onChange?: (servers: ServerView, ageMilliseconds: number) => void;
   /**
    * Time after an outage during which missing entries are kept, since live servers still have to
    * register again, in milliseconds.
@@ -119,7 +122,7 @@
   const isWithinOutageGrace = (): boolean =>
     sinceOutage !== undefined && sinceOutage() < outageGraceMilliseconds;
 
-  const mergeListed = (): void => {
+  const mergeListed = (ageMilliseconds = 0): void => {
     // Users of the servers tell those that were listed at first from those that came later.
     if (!hasRead) return;
     const merged = new Map<string, ServerEntry>();
@@ -138,19 +141,19 @@
       });
     }
     servers = merged;
-    onChange(servers);
+    onChange(servers, ageMilliseconds);
   };
 
   const recordOutage = (): void => {
     sinceOutage = startMonotonicStopwatch(clock);
-    clock.after(outageGraceMilliseconds + 1, mergeListed);
+    clock.after(outageGraceMilliseconds + 1, () => mergeListed());
   };
 
   return {
-    update: (entries) => {
+    update: (entries, ageMilliseconds = 0) => {
       listed = new Map(entries);
       hasRead = true;
-      mergeListed();
+      mergeListed(ageMilliseconds);
     },
     recordOutage,
     recordRollback: () => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -204,8 +204,8 @@
 
   const directory = createServerDirectory({
     clock,
-    onChange: (view) => {
-      servers.update(view);
+    onChange: (view, ageMilliseconds) => {
+      servers.update(view, ageMilliseconds);
       cold.updateServers(view);
       limits.updateServers(view);
       promptParts.updateServers(view);
@@ -277,12 +277,12 @@
     leadership.setServers(directory.current());
   };
 
-  const applyServerEntries = (view: ObjectView<unknown>): void => {
+  const applyServerEntries = (view: ObjectView<unknown>, ageMilliseconds: number): void => {
     const entries = [...view].flatMap(([name, { value }]): [string, ServerEntry][] => {
       const entry = options.decodeServer(name, value);
       return entry ? [[name, entry]] : [];
     });
-    directory.update(new Map(entries));
+    directory.update(new Map(entries), ageMilliseconds);
   };
 
   const followerOptions = {
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -208,6 +208,8 @@
   readonly since: number;
   readonly changedAt: number;
   readonly changes: readonly ObjectChange[];
+  /** Longest time since the changes were made, in milliseconds; absent in messages of older builds. */
+  readonly age?: number;
 }
 
 /** Body of {@link MESSAGE.WANTS}. */
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -53,7 +53,11 @@
   readonly logger: Logger;
   /** Number of hosts with a better rank that report to watch this kind. */
   readonly countBetterRankedWatchers: (kind: string) => number;
-  readonly onView: (view: ObjectView<unknown>) => void;
+  /**
+   * Called with each new view.
+   * @param ageMilliseconds longest time since the changes were made; Infinity if it is not known
+   */
+  readonly onView: (view: ObjectView<unknown>, ageMilliseconds: number) => void;
   /** Called with changes from the store that other hosts need. */
   readonly onChanges: (message: ChangesMessage) => void;
   /** Called when the store answers again after a failure, to this host or to one it pulls from. */
@@ -127,6 +131,8 @@
   /** Newest version of the changes received from other hosts. */
   let receivedVersion = 0;
   let sinceAnswer: Stopwatch | undefined;
+  /** Time between the last two answers of the store. */
+  let answerGapMilliseconds = Infinity;
   let sinceRecovered: Stopwatch | undefined;
 
   const isWatching = (): boolean => sinceAnswer !== undefined && sinceAnswer() < validMilliseconds;
@@ -151,7 +157,11 @@
       : next;
   };
 
-  const replaceView = (next: ObjectView<unknown>, version: number): void => {
+  const replaceView = (
+    next: ObjectView<unknown>,
+    version: number,
+    ageMilliseconds = Infinity,
+  ): void => {
     if (version < changedAt) return;
     const merged = new Map([...next].map(([name, object]) => [name, mergeObject(object)]));
     view.forEach((known, name) => {
@@ -160,10 +170,14 @@
     view = merged;
     digest = undefined;
     changedAt = version;
-    onView(view);
+    onView(view, ageMilliseconds);
   };
 
-  const applyChanges = (changes: readonly ObjectChange[], version: number): void => {
+  const applyChanges = (
+    changes: readonly ObjectChange[],
+    version: number,
+    ageMilliseconds: number,
+  ): void => {
     changes.forEach(({ name, version: changed, value }) => {
       if ((view.get(name)?.version ?? 0) > changed) return;
       if (value !== undefined) view.set(name, mergeObject({ name, version: changed, value }));
@@ -171,7 +185,7 @@
     });
     digest = undefined;
     changedAt = version;
-    onView(view);
+    onView(view, ageMilliseconds);
   };
 
   const recordRecovery = (): void => {
@@ -206,7 +220,7 @@
             view.set(name, { ...object, version: known?.version ?? object.version });
         });
         digest = undefined;
-        onView(view);
+        onView(view, Infinity);
       }
     } catch (error) {
       logger.warn('pulling objects from another host failed', { kind, error: errorMessage(error) });
@@ -223,6 +237,7 @@
   };
 
   const onAnswer = (): void => {
+    answerGapMilliseconds = sinceAnswer?.() ?? Infinity;
     sinceAnswer = startMonotonicStopwatch(clock);
     if (!isFailing) return;
     isFailing = false;
@@ -234,8 +249,10 @@
   const broadcastChanges = (message: ChangesMessage): void => {
     if (countBetterRankedWatchers(kind) === 0) onChanges(message);
     else {
+      const { age = 0 } = message;
       clock.after(STANDBY_BROADCAST_MILLISECONDS, () => {
-        if (receivedVersion < message.changedAt) onChanges(message);
+        if (receivedVersion < message.changedAt)
+          onChanges({ ...message, age: age + STANDBY_BROADCAST_MILLISECONDS });
       });
     }
   };
@@ -253,10 +270,11 @@
       onAnswer,
       onFailure,
       onChanges: (changes, version) => {
+        const age = Number.isFinite(answerGapMilliseconds) ? { age: answerGapMilliseconds } : {};
         if (version > changedAt)
-          broadcastChanges({ kind, since: changedAt, changedAt: version, changes });
+          broadcastChanges({ kind, since: changedAt, changedAt: version, changes, ...age });
       },
-      onView: (next, version) => replaceView(next, version.changedAt),
+      onView: (next, version) => replaceView(next, version.changedAt, answerGapMilliseconds),
     });
 
   /** Returns a signal that aborts once other hosts have watched for a number of checks in a row. */
@@ -283,7 +301,7 @@
       receivedVersion = Math.max(receivedVersion, message.changedAt);
       if (message.changedAt <= changedAt) return;
       if (message.since > changedAt) pull(link).catch(() => {});
-      else applyChanges(message.changes, message.changedAt);
+      else applyChanges(message.changes, message.changedAt, message.age ?? 0);
     },
     receiveSummary: (link, summary) => {
       const { changedAt: version, rank: otherRank = 0 } = summary;
--- a/packages/entry/test/source.feature
+++ b/packages/entry/test/source.feature
@@ -30,6 +30,7 @@
     Given four hosts that follow one kind, whose changes must arrive within <most> ms
     When 5 s pass without a change
     Then a change reaches hosts "3 4" within <most> ms, whenever hosts "1 2" lose the store before it
+    And no host took a change for younger than it was
 
     Examples:
       | most |
--- a/packages/entry/test/source.ts
+++ b/packages/entry/test/source.ts
@@ -25,6 +25,8 @@
   copy: StoreCopy;
   /** Time in which changes must arrive; the default of the followers if it is undefined. */
   stalenessMilliseconds: number | undefined;
+  /** When each object was written. */
+  changeTimes: Map<string, number>;
   /** Time by which the store answers later than usual. */
   slowMilliseconds: number;
 }
@@ -38,6 +40,8 @@
   viewNames: string[];
   /** Configuration versions that the host has had in its view, in this order. */
   configurationVersions: number[];
+  /** Views that held a change which was made before the age that came with it. */
+  understatedAges: number;
   /** Whether each other host watches the store, as last received from it. */
   readonly isWatchingByHost: Map<number, boolean>;
 }
@@ -48,6 +52,7 @@
 const STATE_INTERVAL_MILLISECONDS = 200;
 const STEP_MILLISECONDS = 20;
 const WATCH_MARGIN_MILLISECONDS = 1000;
+const MESSAGE_MILLISECONDS = 2;
 const SECOND_MILLISECONDS = 1000;
 /** Times of a loss of the store after which a change is made, and their distance. */
 const PHASES = 40;
@@ -146,7 +151,14 @@
     logger: { info: () => {}, warn: () => {}, error: () => {} },
     countBetterRankedWatchers: () =>
       [...host.isWatchingByHost].filter(([other, watches]) => other < number && watches).length,
-    onView: (view) => {
+    onView: (view, ageMilliseconds) => {
+      const isTooYoung = [...view.keys()].some(
+        (name) =>
+          !host.viewNames.includes(name) &&
+          world.clock.monotonic() - (world.changeTimes.get(name) ?? Infinity) >
+            ageMilliseconds + MESSAGE_MILLISECONDS,
+      );
+      if (isTooYoung) host.understatedAges += 1;
       host.viewNames = [...view.keys()].sort();
       const version = getConfigurationVersion(view.get(CONFIGURATION)?.value);
       if (version !== host.configurationVersions.at(-1)) host.configurationVersions.push(version);
@@ -154,7 +166,9 @@
     onChanges: (message: ChangesMessage) => {
       others().forEach((other) => {
         if (other.missesChanges) return;
-        world.clock.after(2, () => other.follower.receiveChanges(linkTo(world, host), message));
+        world.clock.after(MESSAGE_MILLISECONDS, () =>
+          other.follower.receiveChanges(linkTo(world, host), message),
+        );
       });
     },
   });
@@ -166,6 +180,7 @@
     missesChanges: false,
     viewNames: [],
     configurationVersions: [],
+    understatedAges: 0,
     isWatchingByHost: new Map(),
   };
   return host;
@@ -193,7 +208,7 @@
   const store = createMemoryStore();
   const stopping = new AbortController();
   Object.assign(world, { clock, store, stopping, changeCount: 0, hosts: [] });
-  Object.assign(world, { stalenessMilliseconds, slowMilliseconds: 0 });
+  Object.assign(world, { stalenessMilliseconds, slowMilliseconds: 0, changeTimes: new Map() });
   changed.hosts = [1, 2, 3, 4].map((number) => createHost(world, number));
   world.hosts.forEach(({ follower }) => {
     follower.run(stopping.signal).catch(() => {});
@@ -225,6 +240,7 @@
   const changed = world;
   changed.changeCount += 1;
   const name = `server-${changed.changeCount}`;
+  changed.changeTimes.set(name, changed.clock.monotonic());
   await world.store.write({ kind: KIND, name }, changed.changeCount, 0);
   return name;
 }
@@ -304,6 +320,13 @@
   },
 );
 
+Then('no host took a change for younger than it was', function check(this: FollowerWorld) {
+  assert.deepEqual(
+    this.hosts.map(({ understatedAges }) => understatedAges),
+    this.hosts.map(() => 0),
+  );
+});
+
 Then('all hosts have the same view', function same(this: FollowerWorld) {
   const [first, ...others] = this.hosts;
   others.forEach((host) => assert.deepEqual(host.viewNames, first!.viewNames));
--- a/packages/serving/src/servers.ts
+++ b/packages/serving/src/servers.ts
@@ -23,7 +23,7 @@
   closedUntil: number;
   /** Whether the server ends if it must reject too many requests, by its last answer to this host. */
   isBrittle: boolean;
-  /** Time on the monotonic clock when the server was first reported as leaving. */
+  /** Time on the monotonic clock since when the server may have been leaving; undefined if it is not. */
   leavingSince: number | undefined;
   /** Times of the orders to unload a model, by model. */
   readonly unloadOrderTimes: Map<string, number>;
@@ -35,7 +35,11 @@
 
 /** The states that this host keeps for all servers. */
 export interface ServerStates {
-  update(servers: ServerView): void;
+  /**
+   * Replaces the entries.
+   * @param ageMilliseconds longest time since they changed; 0 by default
+   */
+  update(servers: ServerView, ageMilliseconds?: number): void;
   all(): Iterable<ServerState>;
   ofService(service: string): readonly ServerState[];
   get(id: string): ServerState | undefined;
@@ -117,7 +121,7 @@
   };
 
   return {
-    update: (servers) => {
+    update: (servers, ageMilliseconds = 0) => {
       [...states.keys()].forEach((id) => {
         if (!servers.has(id)) states.delete(id);
       });
@@ -125,7 +129,7 @@
         const existing = states.get(id);
         if (existing?.entry.born === entry.born) {
           existing.entry = entry;
-          if (entry.leaving) existing.leavingSince ??= clock.monotonic();
+          if (entry.leaving) existing.leavingSince ??= clock.monotonic() - ageMilliseconds;
           removeFinishedUnloads(existing);
         } else states.set(id, createState(entry));
       });
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -55,8 +55,11 @@
   readonly waits: ModelWaits;
   /** Requests that wait for a place; undefined if the host sends each at once. */
   readonly places: AdmissionQueue | undefined;
-  /** Reads the states of the servers again. */
-  updateServers(): void;
+  /**
+   * Reads the states of the servers again.
+   * @param ageMilliseconds longest time since they changed; 0 by default
+   */
+  updateServers(ageMilliseconds?: number): void;
 }
 
 /** Options of {@link createTestHost}. */
@@ -157,13 +160,13 @@
   const states = createServerStates(clock);
   const streams = createStreamVersions({ clock, isFirstStart: true });
   const waits = createModelWaits({ clock });
-  const updateServers = (): void => {
+  const updateServers = (ageMilliseconds = 0): void => {
     const entries = new Map(
       servers
         .filter(({ isListed = true }) => isListed)
         .map((server) => [server.id, createEntry(server, isLoaded(server), evacuatedDomains())]),
     );
-    states.update(entries);
+    states.update(entries, ageMilliseconds);
     limits.updateServers(entries);
     streams.updateServers(entries);
     promptParts.updateServers(entries);
--- a/packages/serving/test/leaving.ts
+++ b/packages/serving/test/leaving.ts
@@ -25,6 +25,9 @@
   /** Time after the departure at which the second server holds the model. */
   loadedAfter: number;
   departedAt: number;
+  /** Time after the departure at which the host learns of it, and the age that comes with the report. */
+  noticeMilliseconds: number;
+  ageMilliseconds: number;
   answers: TestAnswer[];
   /** When requests reached the server that leaves. */
   arrivals: number[];
@@ -44,7 +47,7 @@
     const servers = createServers(2);
     Object.assign(this, { clock, servers, what, waitMilliseconds: Number(milliseconds) });
     Object.assign(this, { loadedAfter: Infinity, departedAt: Infinity });
-    Object.assign(this, { answers: [], arrivals: [] });
+    Object.assign(this, { answers: [], arrivals: [], noticeMilliseconds: 0, ageMilliseconds: 0 });
   },
 );
 
@@ -55,6 +58,13 @@
   },
 );
 
+Given(
+  'the host learns of the departure {int} ms late, with an age of {int} ms',
+  function learn(this: LeavingWorld, noticeMilliseconds: number, ageMilliseconds: number) {
+    Object.assign(this, { noticeMilliseconds, ageMilliseconds });
+  },
+);
+
 const createSend =
   (world: LeavingWorld): SendCall<Call> =>
   async (_call, { server, maySend }, sink) => {
@@ -121,8 +131,8 @@
         this.departedAt = clock.monotonic();
         const isListed = departs !== 'is removed from the list';
         Object.assign(servers[0]!, { isLeaving: true, isListed });
-        host.updateServers();
       }
+      if (sinceDeparture === this.noticeMilliseconds) host.updateServers(this.ageMilliseconds);
       if (sinceDeparture === this.loadedAfter) host.updateServers();
       const isDue = at % REQUEST_INTERVAL_MILLISECONDS === 0;
       if (isDue && sinceDeparture >= Number(from) && sinceDeparture <= Number(to)) {
