--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -120,6 +120,8 @@
   let reportedHeld = false;
   let formerHost: string | undefined;
   let formerFencing = 0;
+  /** Fencing number of the current or last term of this process. */
+  let termFencing: number | undefined;
   let abandonedFencing: number | undefined;
   let sinceAcquired: Stopwatch | undefined;
   /** Lower bound for the time between the end of the former term and this acquisition. */
@@ -178,8 +180,9 @@
       !isAbandonedTerm
     ) {
       lastRenewal = { since, fencing: record.fencing, version: settled.version };
+      termFencing = record.fencing;
     }
-    // Another process has written the record, so this term has ended.
+    // Another process has written the record, or this one by a renewal of which it does not know.
     if (settled.outcome === RETRIED_WRITE_OUTCOME.CONFLICT) lastRenewal = undefined;
   };
 
@@ -266,7 +269,8 @@
     formerHost: () => formerHost,
     millisecondsSinceRenewal: () => lastRenewal?.since() ?? Number.POSITIVE_INFINITY,
     abandon: () => {
-      abandonedFencing = lastRenewal?.fencing ?? abandonedFencing;
+      // The last renewal is not known any more after a conflict, though the record may be of this term.
+      abandonedFencing = termFencing ?? abandonedFencing;
       lastRenewal = undefined;
       notifyIfChanged();
     },
--- a/packages/lease/test/lease.feature
+++ b/packages/lease/test/lease.feature
@@ -27,6 +27,24 @@
     Then no two processes held the lease at the same time
     And within 30 s after the fault a process holds it
 
+  # Guards against a holder that renews a term which it has told others is over, as it took its own write for another's.
+  Scenario Outline: A renewal is carried out without an answer before the store is away
+    Given three processes that contend for a lease and tell the ends of their terms
+    When a renewal of the holder gets no answer, and the store is unreachable for <milliseconds> ms then
+    Then no process held the lease after it had told the end of its term
+    And no two processes held the lease at the same time
+    And each new holder had a higher fencing number
+    And within 30 s after the fault a process holds it
+
+    Examples:
+      | milliseconds |
+      | 0            |
+      | 1900         |
+      | 2500         |
+      | 4500         |
+      | 7000         |
+      | 9000         |
+
   # Guards against a lease that nobody gets, since its record holds what another writer has left.
   Scenario Outline: Another writer replaces the record
     Given three processes that contend for a lease
--- a/packages/lease/test/lease.ts
+++ b/packages/lease/test/lease.ts
@@ -18,6 +18,8 @@
   isPaused: boolean;
   isCutOff: boolean;
   losesAnswers: boolean;
+  /** The next write is carried out without an answer, and the store is unreachable then. */
+  losesRenewal: boolean;
   /** Milliseconds added to its wall clock. */
   wallClockOffset: number;
   resume(): void;
@@ -35,6 +37,11 @@
   /** Holders with their fencing numbers, in the order of observation. */
   observedHolders: { name: string; fencing: number }[];
   maxConcurrentHolders: number;
+  /** When the holders told the ends of their terms, by fencing number; undefined if they tell nothing. */
+  endedTerms: Map<number, number> | undefined;
+  /** Last fencing number of each holder that has not told the end of its term. */
+  openTerms: Map<string, number>;
+  heldAfterEnd: number;
 }
 
 const STEP_MILLISECONDS = 100;
@@ -43,6 +50,8 @@
 const FIRST_ERA = 1;
 const FIRST_INCARNATION = '-1';
 const COPY_INTERVAL_MILLISECONDS = 1000;
+/** Time until the others have heard of the end of a term; longer than between two attempts of its holder. */
+const NOTICE_MILLISECONDS = 2500;
 
 function createContender(world: LeaseWorld, name: string, incarnation: string): Contender {
   const deferredActions: (() => void)[] = [];
@@ -63,6 +72,11 @@
   const store = world.store.withFaults(() => {
     storeCalls += 1;
     if (world.isStoreUnreachable || contender.isCutOff) return 'request-lost';
+    if (contender.losesRenewal) {
+      contender.losesRenewal = false;
+      Object.assign(world, { isStoreUnreachable: true });
+      return 'answer-lost';
+    }
     return contender.losesAnswers && storeCalls % 2 === 0 ? 'answer-lost' : undefined;
   });
   const eras = createEraTracker();
@@ -95,6 +109,8 @@
     self: { host: name, incarnation },
     currentEra: eras.current,
     mayHaveLostRecords: () => eras.hasChanged() || !incarnation.endsWith(FIRST_INCARNATION),
+    isAbandoned: (fencing) =>
+      world.clock.monotonic() - (world.endedTerms?.get(fencing) ?? Infinity) >= NOTICE_MILLISECONDS,
     mayHaveLostNumbers: () => eras.mayHaveBegunAnew() && !incarnation.endsWith(FIRST_INCARNATION),
   });
   const contender: Contender = {
@@ -104,6 +120,7 @@
     isPaused: false,
     isCutOff: false,
     losesAnswers: false,
+    losesRenewal: false,
     wallClockOffset: 0,
     resume: () => {
       contender.isPaused = false;
@@ -121,11 +138,30 @@
     ({ isAlive, isPaused, lease }) => isAlive && !isPaused && lease.currentFencing() !== undefined,
   );
 
+/** Ends the terms of holders that hold the lease no more, as they tell the others then. */
+function tellEnds(world: LeaseWorld): void {
+  const { clock, contenders, endedTerms, openTerms } = world;
+  if (!endedTerms) return;
+  contenders.forEach(({ name, lease }) => {
+    const fencing = lease.currentFencing();
+    const open = openTerms.get(name);
+    if (fencing !== undefined) {
+      if (endedTerms.has(fencing)) Object.assign(world, { heldAfterEnd: world.heldAfterEnd + 1 });
+      openTerms.set(name, fencing);
+    } else if (open !== undefined) {
+      openTerms.delete(name);
+      lease.abandon();
+      endedTerms.set(open, clock.monotonic());
+    }
+  });
+}
+
 async function advance(world: LeaseWorld, milliseconds: number): Promise<void> {
   const end = world.clock.monotonic() + milliseconds;
   while (world.clock.monotonic() < end) {
     // eslint-disable-next-line no-await-in-loop -- time advances in steps
     await world.clock.advance(STEP_MILLISECONDS);
+    tellEnds(world);
     const now = world.clock.monotonic();
     if (now % COPY_INTERVAL_MILLISECONDS < STEP_MILLISECONDS)
       world.copies.push({ at: now, copy: world.store.copy() });
@@ -139,7 +175,11 @@
   }
 }
 
-async function startContenders(world: LeaseWorld, firstEra = FIRST_ERA): Promise<void> {
+async function startContenders(
+  world: LeaseWorld,
+  firstEra = FIRST_ERA,
+  tellsEnds = false,
+): Promise<void> {
   Object.assign(world, {
     clock: createManualClock(),
     store: createMemoryStore(),
@@ -149,6 +189,9 @@
     isStoreUnreachable: false,
     observedHolders: [],
     maxConcurrentHolders: 0,
+    endedTerms: tellsEnds ? new Map() : undefined,
+    openTerms: new Map(),
+    heldAfterEnd: 0,
   });
   world.contenders.push(
     ...['A', 'B', 'C'].map((name) => createContender(world, name, `${name}-1`)),
@@ -161,6 +204,36 @@
   assert.equal(activeHolders(this).length, 1);
 });
 
+Given(
+  'three processes that contend for a lease and tell the ends of their terms',
+  async function start(this: LeaseWorld) {
+    await startContenders(this, FIRST_ERA, true);
+    assert.equal(activeHolders(this).length, 1);
+  },
+);
+
+When(
+  'a renewal of the holder gets no answer, and the store is unreachable for {int} ms then',
+  async function lose(this: LeaseWorld, milliseconds: number) {
+    const [holder] = activeHolders(this);
+    holder!.losesRenewal = true;
+    while (holder!.losesRenewal) {
+      // eslint-disable-next-line no-await-in-loop -- time advances in steps
+      await advance(this, STEP_MILLISECONDS);
+    }
+    await advance(this, milliseconds);
+    this.isStoreUnreachable = false;
+    await advance(this, 20 * SECOND_MILLISECONDS);
+  },
+);
+
+Then(
+  'no process held the lease after it had told the end of its term',
+  function check(this: LeaseWorld) {
+    assert.equal(this.heldAfterEnd, 0);
+  },
+);
+
 type Fault = (world: LeaseWorld, contender: Contender) => () => void;
 
 const FAULTS: Readonly<Record<string, Fault>> = {
