Wire the confirmed send in entry/ends; ask anew for an end that comes as the last question ends

A request that its caller leaves during a confirmation counts as aborted, no longer as a lost connection of its server.

--- a/packages/entry/src/ends.ts
+++ b/packages/entry/src/ends.ts
@@ -1,9 +1,18 @@
 /** Asks servers and other hosts whether they have outlived a connection that ended in order. */
 import type { ServerEntry } from '@bulrushspar/catalogue';
+import type { Clock } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import type { EngineControl } from '@bulrushspar/loading';
 import type { Logger } from '@bulrushspar/logging';
-import { PROCESS_STATE, type PassingHost, type ProcessState } from '@bulrushspar/serving';
+import {
+  createConfirmedSend,
+  createEndConfirmation,
+  PROCESS_STATE,
+  type Call,
+  type PassingHost,
+  type ProcessState,
+  type SendCall,
+} from '@bulrushspar/serving';
 import { EXCHANGE_FAULT, EXCHANGE_PROGRESS, isExchangeError } from '@bulrushspar/targets';
 
 /** Options of {@link createServerQuestion}. */
@@ -63,3 +72,24 @@
     }
   };
 }
+
+/** Options of {@link createEntrySend}. */
+export interface EntrySendOptions<SomeCall extends Call>
+  extends ServerQuestionOptions, HostQuestionOptions {
+  readonly clock: Clock;
+  readonly send: SendCall<SomeCall>;
+}
+
+/** Creates the function with which a host sends requests; it fails for answers whose ends are not confirmed. */
+export function createEntrySend<SomeCall extends Call>(
+  options: EntrySendOptions<SomeCall>,
+): SendCall<SomeCall> {
+  const { clock, logger, send } = options;
+  return createConfirmedSend({
+    clock,
+    logger,
+    send,
+    confirmation: createEndConfirmation({ clock, ask: createServerQuestion(options) }),
+    outlivedConnection: createHostQuestion(options),
+  });
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,8 +13,6 @@
 import {
   createAdmission,
   createBalancing,
-  createConfirmedSend,
-  createEndConfirmation,
   createModelWaits,
   createRequestHandler,
   createServerStates,
@@ -30,7 +28,7 @@
 import { createEraTracker, type Incarnation, type ObjectView } from '@bulrushspar/store';
 import { createPausingControl } from './control.js';
 import { createCrashWatch } from './crashes.js';
-import { createHostQuestion, createServerQuestion } from './ends.js';
+import { createEntrySend } from './ends.js';
 import { createEvacuations, type Evacuations } from './evacuations.js';
 import { createFleet, type Fleet } from './fleet.js';
 import { createForwarding, type Forwarding } from './forward.js';
@@ -516,23 +514,15 @@
     promptParts,
     limits,
     places,
-    send: createConfirmedSend({
+    send: createEntrySend({
       clock,
       logger,
       send: options.send,
-      confirmation: createEndConfirmation({
-        clock,
-        ask: createServerQuestion({
-          report: pausingControl.report,
-          isClosed: (server) =>
-            servers.closedMilliseconds(server.id) > 0 || evacuations.covers(server.failureDomain),
-        }),
-      }),
-      outlivedConnection: createHostQuestion({
-        logger,
-        requestUptime: (peer) =>
-          forwarding.request(peer, MESSAGE.UPTIME, {}, UPTIME_TIMEOUT_MILLISECONDS),
-      }),
+      report: pausingControl.report,
+      isClosed: ({ id, failureDomain }) =>
+        servers.closedMilliseconds(id) > 0 || evacuations.covers(failureDomain),
+      requestUptime: (peer) =>
+        forwarding.request(peer, MESSAGE.UPTIME, {}, UPTIME_TIMEOUT_MILLISECONDS),
     }),
     streams,
     onNotice: applyNotice,
--- a/packages/serving/src/ends.ts
+++ b/packages/serving/src/ends.ts
@@ -49,23 +49,25 @@
   readonly timeoutMilliseconds?: number;
 }
 
+/** An end that is not confirmed yet. */
+interface PendingEnd {
+  readonly sinceEnd: Stopwatch;
+  settle(isConfirmed: boolean): void;
+}
+
 /** Pause between questions; a server that resets connections beyond its limit may accept the next one. */
 const PAUSE_MILLISECONDS = 50;
 /** Failed connections in sequence after which a process counts as ended. */
 const MAX_UNREACHABLE = 2;
 
+const processKey = ({ id, born }: ServerProcess): string => `${id}/${born}`;
+
 /** Creates the confirmation of one host. One question at a time is open at each server process. */
 export function createEndConfirmation(options: EndConfirmationOptions): EndConfirmation {
   const { clock, ask, timeoutMilliseconds = 1000 } = options;
 
-  interface PendingEnd {
-    readonly sinceEnd: Stopwatch;
-    settle(isConfirmed: boolean): void;
-  }
   const endsByProcess = new Map<string, Set<PendingEnd>>();
 
-  const processKey = ({ id, born }: ServerProcess): string => `${id}/${born}`;
-
   const askUntilSettled = async (server: ServerEntry, ends: Set<PendingEnd>): Promise<void> => {
     let unreachableCount = 0;
     while (ends.size > 0) {
@@ -80,6 +82,8 @@
       // eslint-disable-next-line no-await-in-loop -- one question at a time
       else await clock.delay(PAUSE_MILLISECONDS);
     }
+    // An end that comes from now on is asked about anew.
+    endsByProcess.delete(processKey(server));
   };
 
   return {
@@ -105,7 +109,7 @@
         ends.add(end);
         if (known) return;
         endsByProcess.set(key, ends);
-        askUntilSettled(server, ends).finally(() => endsByProcess.delete(key));
+        askUntilSettled(server, ends).catch(() => settle(false));
       }),
     recordAnswer: (server, sinceSent) => {
       const ends = endsByProcess.get(processKey(server));
@@ -181,7 +185,7 @@
     throw createExchangeError(
       new Error(`nothing shows that server ${server.id} has ended the answer itself`),
       EXCHANGE_PROGRESS.ANSWERED,
-      EXCHANGE_FAULT.CUT,
+      signal.aborted ? EXCHANGE_FAULT.ABORTED : EXCHANGE_FAULT.CUT,
     );
   };
 }
