--- a/packages/serving/test/leaving.ts
+++ b/packages/serving/test/leaving.ts
@@ -85,7 +85,8 @@
 
 function createHost(world: LeavingWorld) {
   const { clock, servers, what, waitMilliseconds } = world;
-  const limits = createServerLimits({ clock });
+  // The first place at a limited server is at once.
+  const limits = createServerLimits({ clock, random: () => 0 });
   const host = createTestHost({
     clock,
     servers,
