--- a/packages/lease/test/lease.ts
+++ b/packages/lease/test/lease.ts
@@ -50,7 +50,7 @@
 const FIRST_ERA = 1;
 const FIRST_INCARNATION = '-1';
 const COPY_INTERVAL_MILLISECONDS = 1000;
-/** Time until the others have heard of the end of a term; longer than between two attempts of its holder. */
+/** Delay after which other contenders receive the end of a term, so that its holder tries to renew first. */
 const NOTICE_MILLISECONDS = 2500;
 
 function createContender(world: LeaseWorld, name: string, incarnation: string): Contender {
