--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,7 +9,7 @@
 import { createPauseMonitor, runPeriodically, startMonotonicStopwatch } from '@bulrushspar/clock';
 import { errorMessage } from '@bulrushspar/errors';
 import { createDemandTracker, type Outlook } from '@bulrushspar/loading';
-import { answerBytesOfHost, createAnswerMemory } from '@bulrushspar/routing';
+import { answerBytesOfHost, createByteMemory } from '@bulrushspar/routing';
 import {
   createAdmission,
   createBalancing,
@@ -490,7 +490,7 @@
     onExpired: (name) => leadership.commander.removeHost(name),
   });
 
-  const answerMemory = createAnswerMemory(
+  const answerMemory = createByteMemory(
     options.memoryBytes !== undefined ? { totalBytes: answerBytesOfHost(options.memoryBytes) } : {},
   );
   options.metrics.gauge(
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -76,7 +76,10 @@
     const identity = authenticate(context, services.getKeyring());
     const body = await waitUnlessAborted(
       context,
-      readBody(context.request, configuration.hosts.body_bytes),
+      readBody(context, {
+        maxBytes: configuration.hosts.body_bytes,
+        memory: services.requestMemory,
+      }),
     );
     rejectEmbeddedKey(context, body);
     const chat = parseChatRequest(configuration, body, field);
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -288,7 +288,10 @@
       authorize(namedRoute.route, namedRoute.name, authenticate(context, services.getKeyring()));
     }
     metrics.requests.add(1, { route: namedRoute.name });
-    const body = await readBody(context.request, configuration.hosts.body_bytes);
+    const body = await readBody(context, {
+      maxBytes: configuration.hosts.body_bytes,
+      memory: services.requestMemory,
+    });
     rejectEmbeddedKey(context, body);
     const key = extractBearerKey(context.request.headers);
     const sanitized = removeCredentials(context.request.headers, servicePath.targetPath, key);
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -5,7 +5,7 @@
 import type { Limits } from '@bulrushspar/limits';
 import type { CounterMetric, LatencyMetric, Metrics } from '@bulrushspar/metrics';
 import type { Placer } from '@bulrushspar/placement';
-import type { Random } from '@bulrushspar/routing';
+import type { ByteMemory, Random } from '@bulrushspar/routing';
 import type { TargetRegistry } from '@bulrushspar/targets';
 import type { CreateCrashGuard } from './isolation.js';
 import type { ModelQueues } from './queues.js';
@@ -33,6 +33,8 @@
   readonly placer: Placer;
   readonly registry: TargetRegistry;
   readonly queues: ModelQueues;
+  /** Counts the bytes of bodies of requests that have not ended. */
+  readonly requestMemory: ByteMemory;
   readonly createCrashGuard: CreateCrashGuard;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -17,7 +17,7 @@
 import { createOperations, createOperatorServer } from '@bulrushspar/operator';
 import { createPlacer, createTurnQueue } from '@bulrushspar/placement';
 import type { Incarnation } from '@bulrushspar/store';
-import { createSuspectTracker } from '@bulrushspar/routing';
+import { createByteMemory, createSuspectTracker } from '@bulrushspar/routing';
 import type { Settings } from '@bulrushspar/settings';
 import { createTargetRegistry, isLoading } from '@bulrushspar/targets';
 import { createFleetCoordination } from './agreement.js';
@@ -144,6 +144,7 @@
       placer,
       registry,
       queues,
+      requestMemory: createByteMemory({ totalBytes: Infinity }),
       createCrashGuard: createCrashGuardFactory({
         registry,
         suspects,
--- a/packages/routing/src/body.ts
+++ b/packages/routing/src/body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { createBlockQueue } from './buffer.js';
+import type { ByteMemory, Holding } from './memory.js';
 
 /** Reasons for which a body is not read to its end. */
 export const BODY_FAULT = {
@@ -14,8 +15,21 @@
 
 /** A body that was read, or why it was not. */
 export type BodyResult =
-  | { readonly content: Buffer; readonly fault?: undefined }
-  | { readonly content?: undefined; readonly fault: BodyFault };
+  | {
+      readonly content: Buffer;
+      /** To be closed once the content is not needed any more. */
+      readonly holding: Holding;
+      readonly fault?: undefined;
+    }
+  | { readonly content?: undefined; readonly holding?: undefined; readonly fault: BodyFault };
+
+/** Options of {@link collectBody}. */
+export interface CollectBodyOptions {
+  /** Most bytes of the body. */
+  readonly maxBytes: number;
+  /** Counts the bytes that are held. */
+  readonly memory: ByteMemory;
+}
 
 /** Small chunks that any body may have, whatever its length. */
 const MAX_SMALL_CHUNKS = 1024;
@@ -54,17 +68,23 @@
  * not, so that its connection has to be closed. Rejects if the connection ends early. Should be called as the
  * request arrives; chunks that arrive before are queued.
  */
-export function collectBody(request: IncomingMessage, maxBytes: number): Promise<BodyResult> {
+export function collectBody(
+  request: IncomingMessage,
+  { maxBytes, memory }: CollectBodyOptions,
+): Promise<BodyResult> {
   return new Promise((resolve, reject) => {
+    const holding = memory.open();
     const rest = createBlockQueue();
     let first: Buffer | undefined;
     let size = 0;
     let chunks = 0;
+    let isComplete = false;
 
     const fail = (fault: BodyFault): void => {
       request.removeListener('data', onData);
       first = undefined;
       rest.clear();
+      holding.close();
       resolve({ fault });
       if (fault === BODY_FAULT.TOO_LARGE) dropBody(request, maxBytes);
       else stopReading(request);
@@ -74,16 +94,24 @@
       chunks += 1;
       if (size > maxBytes) fail(BODY_FAULT.TOO_LARGE);
       else if (isTooFragmented(chunks, size)) fail(BODY_FAULT.TOO_FRAGMENTED);
-      else if (first) rest.append(chunk);
-      else first = chunk;
+      else {
+        holding.resize(size);
+        if (first) rest.append(chunk);
+        else first = chunk;
+      }
     };
     request.on('data', onData);
     request.once('end', () => {
       const parts = first ? [first, ...rest.blocks()] : [];
-      resolve({ content: parts.length === 1 ? parts[0]! : Buffer.concat(parts) });
+      isComplete = true;
+      resolve({ content: parts.length === 1 ? parts[0]! : Buffer.concat(parts), holding });
     });
     request.once('error', reject);
-    request.once('close', () => reject(new Error('the connection ended before the request')));
+    request.once('close', () => {
+      if (isComplete) return;
+      holding.close();
+      reject(new Error('the connection ended before the request'));
+    });
     passChunksOn(request);
   });
 }
--- a/packages/routing/src/buffer.ts
+++ b/packages/routing/src/buffer.ts
@@ -1,4 +1,4 @@
-import type { AnswerMemory } from './memory.js';
+import type { ByteMemory } from './memory.js';
 
 /** Queue of bytes, copied into blocks. */
 export interface BlockQueue {
@@ -67,7 +67,7 @@
 }
 
 /** Creates an empty buffer, whose bytes count in the memory of its host. */
-export function createAnswerBuffer(memory: AnswerMemory): AnswerBuffer {
+export function createAnswerBuffer(memory: ByteMemory): AnswerBuffer {
   const queue = createBlockQueue();
   const holding = memory.open();
   return {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,7 +5,14 @@
   type AnswerBuffer,
   type BlockQueue,
 } from './buffer.js';
-export { BODY_FAULT, collectBody, dropBody, type BodyFault, type BodyResult } from './body.js';
+export {
+  BODY_FAULT,
+  collectBody,
+  dropBody,
+  type BodyFault,
+  type BodyResult,
+  type CollectBodyOptions,
+} from './body.js';
 export { chooseServer, type ServerSelectionOptions, type Random } from './choose.js';
 export { createEventSplitter, type EventSplitter } from './events.js';
 export {
@@ -17,9 +24,9 @@
 } from './queue.js';
 export {
   answerBytesOfHost,
-  createAnswerMemory,
-  type AnswerMemory,
-  type AnswerMemoryOptions,
+  createByteMemory,
+  type ByteMemory,
+  type ByteMemoryOptions,
   type Holding,
 } from './memory.js';
 export type { Isolation, RunUpdate } from './isolation.js';
--- a/packages/routing/src/memory.ts
+++ b/packages/routing/src/memory.ts
@@ -1,5 +1,8 @@
-/** Bounds the bytes of answers that a host holds until they are complete or their callers read them. */
-export interface AnswerMemory {
+/**
+ * Bounds the bytes that a host holds: of answers until they are complete or their callers read them, of
+ * bodies of requests until the requests have ended.
+ */
+export interface ByteMemory {
   /**
    * @param onShortage ends an answer whose bytes are needed for others; its holding is closed then.
    * Without it the answer is never ended for others
@@ -21,18 +24,18 @@
   close(): void;
 }
 
-/** Options of {@link createAnswerMemory}. */
-export interface AnswerMemoryOptions {
+/** Options of {@link createByteMemory}. */
+export interface ByteMemoryOptions {
   /** Most bytes of all answers together. */
   readonly totalBytes?: number;
   /** Most bytes of one answer that may not be ended for others. */
-  readonly answerBytes?: number;
+  readonly holdingBytes?: number;
   /** Most unread bytes of one stream. */
   readonly streamBytes?: number;
 }
 
 const DEFAULT_TOTAL_BYTES = 64_000_000;
-const DEFAULT_ANSWER_BYTES = 16_000_000;
+const DEFAULT_HOLDING_BYTES = 16_000_000;
 /** Over ten seconds of a stream of 100 tokens a second with 200 bytes for each. */
 const DEFAULT_STREAM_BYTES = 262_144;
 /**
@@ -60,8 +63,8 @@
  * Creates the memory of one host. An answer that may not be ended for others may hold at most as much as
  * is left for them, so that large answers always leave room for small ones.
  */
-export function createAnswerMemory(options: AnswerMemoryOptions = {}): AnswerMemory {
-  const { totalBytes = DEFAULT_TOTAL_BYTES, answerBytes = DEFAULT_ANSWER_BYTES } = options;
+export function createByteMemory(options: ByteMemoryOptions = {}): ByteMemory {
+  const { totalBytes = DEFAULT_TOTAL_BYTES, holdingBytes = DEFAULT_HOLDING_BYTES } = options;
   const { streamBytes = DEFAULT_STREAM_BYTES } = options;
   /** Answers that may be ended for others. */
   const endable = new Set<OpenHolding>();
@@ -94,7 +97,7 @@
       return {
         resize: (bytes) => {
           const growth = bytes - holding.bytes;
-          if (!onShortage && bytes > answerBytes) return false;
+          if (!onShortage && bytes > holdingBytes) return false;
           const neededBytes = onShortage ? growth : growth + bytes;
           if (growth > 0)
             while (neededBytes > totalBytes - usedBytes) if (!endLargest(bytes)) return false;
--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -6,7 +6,7 @@
   type EventScanner,
   type EventSplitter,
 } from './events.js';
-import { createAnswerMemory, type AnswerMemory } from './memory.js';
+import { createByteMemory, type ByteMemory } from './memory.js';
 
 /** Writes an answer to its caller. */
 export interface AnswerWriter {
@@ -83,7 +83,7 @@
    */
   readonly tooLarge: (bytes: number, head: Head) => Error;
   /** Bounds the bytes that several relays buffer together; created for this relay by default. */
-  readonly memory?: AnswerMemory;
+  readonly memory?: ByteMemory;
 }
 
 /** Options of {@link createStreamRelay}. */
@@ -129,7 +129,7 @@
   options: RelayOptions<Head>,
 ): Relay<Head> {
   const { writer, onFirstByte = () => {}, onChunk = () => {}, checkEnd = () => {} } = options;
-  const buffer = createAnswerBuffer(options.memory ?? createAnswerMemory());
+  const buffer = createAnswerBuffer(options.memory ?? createByteMemory());
   let head: Head | undefined;
   return {
     openSink: () => {
--- a/packages/routing/src/writer.ts
+++ b/packages/routing/src/writer.ts
@@ -1,5 +1,5 @@
 import { createBlockQueue } from './buffer.js';
-import type { AnswerMemory } from './memory.js';
+import type { ByteMemory } from './memory.js';
 import type { AnswerWriter } from './relay.js';
 
 /** Writer whose unread bytes can be measured. */
@@ -19,7 +19,7 @@
 /** Options of {@link createBufferingWriter}. */
 export interface BufferingWriterOptions {
   readonly writer: MeasuredWriter;
-  readonly memory: AnswerMemory;
+  readonly memory: ByteMemory;
   /** Ends the answer, because the memory of the host is short and no other answer holds more. */
   readonly onShortage: (heldBytes: number) => void;
 }
--- a/packages/routing/test/buffer.ts
+++ b/packages/routing/test/buffer.ts
@@ -3,13 +3,13 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import {
   createAnswerBuffer,
-  createAnswerMemory,
+  createByteMemory,
   type AnswerBuffer,
-  type AnswerMemory,
+  type ByteMemory,
 } from '@bulrushspar/routing';
 
 interface BufferWorld {
-  memory: AnswerMemory;
+  memory: ByteMemory;
   buffers: { readonly buffer: AnswerBuffer; readonly wanted: number }[];
 }
 
@@ -18,9 +18,9 @@
 Given(
   'a memory for {int} MB in all and {int} MB of each answer',
   function create(this: BufferWorld, total: number, each: number) {
-    this.memory = createAnswerMemory({
+    this.memory = createByteMemory({
       totalBytes: total * MEGABYTE,
-      answerBytes: each * MEGABYTE,
+      holdingBytes: each * MEGABYTE,
     });
   },
 );
--- a/packages/routing/test/readers.ts
+++ b/packages/routing/test/readers.ts
@@ -4,9 +4,9 @@
 import fc from 'fast-check';
 import {
   createAnswerBuffer,
-  createAnswerMemory,
+  createByteMemory,
   createBufferingWriter,
-  type AnswerMemory,
+  type ByteMemory,
   type BufferingWriter,
 } from '@bulrushspar/routing';
 
@@ -24,7 +24,7 @@
 }
 
 interface ReadersWorld {
-  memory: AnswerMemory;
+  memory: ByteMemory;
   streams: SlowCaller[];
   isHeld: boolean;
 }
@@ -32,7 +32,7 @@
 const WRITE_BUFFER_BYTES = 16_384;
 
 /** Creates a caller whose connection takes over bytes only when it reads, or at once. */
-function createCaller(memory: AnswerMemory, readsAtOnce = false): SlowCaller {
+function createCaller(memory: ByteMemory, readsAtOnce = false): SlowCaller {
   let unread = '';
   let onDrain = (): void => {};
   let onClose = (): void => {};
@@ -109,7 +109,7 @@
 Given(
   'a host with {int} bytes for answers and {int} for each stream',
   function create(this: ReadersWorld, totalBytes: number, streamBytes: number) {
-    this.memory = createAnswerMemory({ totalBytes, streamBytes });
+    this.memory = createByteMemory({ totalBytes, streamBytes });
     this.streams = [];
   },
 );
@@ -180,7 +180,7 @@
     });
     fc.assert(
       fc.property(fc.array(event, { maxLength: 60 }), (events) => {
-        const memory = createAnswerMemory({ totalBytes: 100_000, streamBytes: 50_000 });
+        const memory = createByteMemory({ totalBytes: 100_000, streamBytes: 50_000 });
         const callers = Array.from({ length: 8 }, () => createCaller(memory));
         events.forEach(({ stream, kind, bytes }) => {
           const caller = callers[stream]!;
--- a/packages/serving/src/answer.ts
+++ b/packages/serving/src/answer.ts
@@ -2,7 +2,7 @@
   createBufferedRelay,
   createBufferingWriter,
   createStreamRelay,
-  type AnswerMemory,
+  type ByteMemory,
   type Relay,
 } from '@bulrushspar/routing';
 import type { AnswerHead, Reply } from './call.js';
@@ -35,7 +35,7 @@
   readonly callId: string;
   readonly lastEventId?: string;
   /** Bounds what the answers of all requests hold. */
-  readonly memory?: AnswerMemory;
+  readonly memory?: ByteMemory;
   /**
    * Ends the answer, whose unread bytes are needed for others. Without it unread bytes neither are held
    * beyond the buffer of the connection nor count in the memory.
--- a/packages/serving/src/serve.ts
+++ b/packages/serving/src/serve.ts
@@ -10,7 +10,7 @@
   type Refusal,
 } from '@bulrushspar/errors';
 import type { DemandTracker } from '@bulrushspar/loading';
-import { createAnswerMemory, type AnswerMemory } from '@bulrushspar/routing';
+import { createByteMemory, type ByteMemory } from '@bulrushspar/routing';
 import type { Admission, AdmittedRequest } from './admit.js';
 import { DELIVERY, openRelay, type Delivery } from './answer.js';
 import { createAttemptRunner, type AttemptRunnerOptions, type ActiveRequest } from './attempts.js';
@@ -32,7 +32,7 @@
   readonly admission: Admission;
   readonly demand: DemandTracker;
   /** Bounds the bytes of answers that are held. */
-  readonly answerMemory?: AnswerMemory;
+  readonly answerMemory?: ByteMemory;
   /** Whether unread bytes are held and count in the memory; false by default. */
   readonly buffersUnread?: boolean;
 }
@@ -57,7 +57,7 @@
   options: RequestHandlerOptions<SomeCall>,
 ): RequestHandler<SomeCall> {
   const { clock, logger, metrics, admission, demand, streams } = options;
-  const { getStoppingRefusal, answerMemory: memory = createAnswerMemory() } = options;
+  const { getStoppingRefusal, answerMemory: memory = createByteMemory() } = options;
   const { buffersUnread = false } = options;
   const crashGuard = createCrashGuard(options);
   const attemptRunner = createAttemptRunner({ ...options, crashGuard });
