--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,20 +1,33 @@
 import { createRefusal, REFUSAL, type Refusal } from '@bulrushspar/errors';
-import { BODY_FAULT, collectBody, dropBody, type CollectBodyOptions } from '@bulrushspar/routing';
+import {
+  BODY_FAULT,
+  collectBody,
+  type BodyFault,
+  type CollectBodyOptions,
+} from '@bulrushspar/routing';
 import type { RequestContext } from './context.js';
 
-const createTooLargeRefusal = (maxBytes: number): Refusal =>
-  createRefusal({
-    status: 413,
-    code: REFUSAL.BODY_TOO_LARGE,
-    message: `the body is larger than ${maxBytes} bytes`,
-  });
-
-const createFragmentedRefusal = (): Refusal =>
-  createRefusal({
-    status: 400,
-    code: REFUSAL.BAD_REQUEST,
-    message: 'the body comes in too many small chunks',
+/** Creates the refusal of a request whose body was not read to its end. */
+function createBodyRefusal(fault: BodyFault, maxBytes: number): Refusal {
+  if (fault === BODY_FAULT.TOO_LARGE)
+    return createRefusal({
+      status: 413,
+      code: REFUSAL.BODY_TOO_LARGE,
+      message: `the body is larger than ${maxBytes} bytes`,
+    });
+  if (fault === BODY_FAULT.TOO_FRAGMENTED)
+    return createRefusal({
+      status: 400,
+      code: REFUSAL.BAD_REQUEST,
+      message: 'the body comes in too many small chunks',
+    });
+  return createRefusal({
+    status: 503,
+    code: REFUSAL.QUEUE_FULL,
+    message: 'this host has no memory for the body of the request',
+    retryAfterSeconds: 1,
   });
+}
 
 /**
  * Reads the complete body of a request, which counts in the memory until the request is answered. Rejects with a
@@ -24,18 +37,11 @@
   { request, response }: Pick<RequestContext, 'request' | 'response'>,
   options: CollectBodyOptions,
 ): Promise<Buffer> {
-  const { maxBytes } = options;
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
-    dropBody(request, maxBytes);
-    throw createTooLargeRefusal(maxBytes);
-  }
   const { content, holding, fault } = await collectBody(request, options);
   if (content) {
     if (response.closed) holding.close();
     else response.once('close', holding.close);
     return content;
   }
-  throw fault === BODY_FAULT.TOO_LARGE
-    ? createTooLargeRefusal(maxBytes)
-    : createFragmentedRefusal();
+  throw createBodyRefusal(fault, options.maxBytes);
 }
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -33,7 +33,7 @@
   readonly placer: Placer;
   readonly registry: TargetRegistry;
   readonly queues: ModelQueues;
-  /** Counts the bytes of bodies of requests that have not ended. */
+  /** Bounds the bytes of bodies of requests that have not ended. */
   readonly requestMemory: ByteMemory;
   readonly createCrashGuard: CreateCrashGuard;
   readonly metrics: GatewayMetrics;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -144,7 +144,7 @@
       placer,
       registry,
       queues,
-      requestMemory: createByteMemory({ totalBytes: Infinity }),
+      requestMemory: createByteMemory(),
       createCrashGuard: createCrashGuardFactory({
         registry,
         suspects,
--- a/packages/routing/src/body.ts
+++ b/packages/routing/src/body.ts
@@ -8,6 +8,8 @@
   TOO_LARGE: 'too-large',
   /** It comes in so many small chunks that reading it would keep the host from other work. */
   TOO_FRAGMENTED: 'too-fragmented',
+  /** The host holds too many bytes of requests, and this body has the most of them or does not fit. */
+  NO_MEMORY: 'no-memory',
 } as const;
 
 /** One of {@link BODY_FAULT}. */
@@ -27,7 +29,7 @@
 export interface CollectBodyOptions {
   /** Most bytes of the body. */
   readonly maxBytes: number;
-  /** Counts the bytes that are held. */
+  /** Bounds the bytes of all bodies that are held. */
   readonly memory: ByteMemory;
 }
 
@@ -64,8 +66,8 @@
 }
 
 /**
- * Reads the body of a request. A body that is too large is read on and dropped; one that is too fragmented is
- * not, so that its connection has to be closed. Rejects if the connection ends early. Should be called as the
+ * Reads the body of a request. A body that is too large or for which there is no memory is read on and dropped;
+ * one that is too fragmented is not, so that its connection has to be closed. Rejects if the connection ends early. Should be called as the
  * request arrives; chunks that arrive before are queued.
  */
 export function collectBody(
@@ -73,21 +75,24 @@
   { maxBytes, memory }: CollectBodyOptions,
 ): Promise<BodyResult> {
   return new Promise((resolve, reject) => {
-    const holding = memory.open();
-    const rest = createBlockQueue();
-    let first: Buffer | undefined;
+    const holding = memory.open(() => fail(BODY_FAULT.NO_MEMORY));
+    const declaredBytes = Number(request.headers['content-length'] ?? NaN);
+    const blocks = createBlockQueue(memory.pool);
+    /** The body, if it came in one chunk, which needs no copy then. */
+    let onlyChunk: Buffer | undefined;
     let size = 0;
     let chunks = 0;
-    let isComplete = false;
+    let isSettled = false;
 
     const fail = (fault: BodyFault): void => {
+      isSettled = true;
       request.removeListener('data', onData);
-      first = undefined;
-      rest.clear();
+      onlyChunk = undefined;
+      blocks.clear();
       holding.close();
       resolve({ fault });
-      if (fault === BODY_FAULT.TOO_LARGE) dropBody(request, maxBytes);
-      else stopReading(request);
+      if (fault === BODY_FAULT.TOO_FRAGMENTED) stopReading(request);
+      else dropBody(request, maxBytes);
     };
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
@@ -95,20 +100,32 @@
       if (size > maxBytes) fail(BODY_FAULT.TOO_LARGE);
       else if (isTooFragmented(chunks, size)) fail(BODY_FAULT.TOO_FRAGMENTED);
       else {
-        holding.resize(size);
-        if (first) rest.append(chunk);
-        else first = chunk;
+        if (chunk.length === declaredBytes) onlyChunk = chunk;
+        else blocks.append(chunk);
+        if (!holding.resize(onlyChunk?.length ?? blocks.allocatedBytes()))
+          fail(BODY_FAULT.NO_MEMORY);
       }
     };
+    if (declaredBytes > maxBytes) {
+      fail(BODY_FAULT.TOO_LARGE);
+      return;
+    }
     request.on('data', onData);
     request.once('end', () => {
-      const parts = first ? [first, ...rest.blocks()] : [];
-      isComplete = true;
-      resolve({ content: parts.length === 1 ? parts[0]! : Buffer.concat(parts), holding });
+      if (isSettled) return;
+      if (!holding.keep()) {
+        fail(BODY_FAULT.NO_MEMORY);
+        return;
+      }
+      isSettled = true;
+      const content = onlyChunk ?? Buffer.concat(blocks.blocks());
+      blocks.clear();
+      resolve({ content, holding });
     });
     request.once('error', reject);
     request.once('close', () => {
-      if (isComplete) return;
+      if (isSettled) return;
+      blocks.clear();
       holding.close();
       reject(new Error('the connection ended before the request'));
     });
--- a/packages/routing/src/buffer.ts
+++ b/packages/routing/src/buffer.ts
@@ -1,4 +1,5 @@
 import type { ByteMemory } from './memory.js';
+import { BLOCK_BYTES, type BlockPool } from './pool.js';
 
 /** Queue of bytes, copied into blocks. */
 export interface BlockQueue {
@@ -6,6 +7,8 @@
   /** Removes the oldest block. */
   shift(): Buffer | undefined;
   bytes(): number;
+  /** Bytes of the blocks, also those that are still free. */
+  allocatedBytes(): number;
   blocks(): readonly Buffer[];
   clear(): void;
 }
@@ -19,13 +22,15 @@
   clear(): void;
 }
 
-const MAX_BLOCK_BYTES = 65_536;
+/** Blocks up to this size are not taken from a pool, so that small bodies take little memory. */
+const MAX_SMALL_BLOCK_BYTES = 8192;
 
 /**
  * Creates an empty queue. Chunks are copied into blocks, since a chunk of one byte would keep the whole
  * buffer of the socket in memory.
+ * @param pool gives the largest blocks, and gets them back with `clear`; nobody may use them any more then
  */
-export function createBlockQueue(): BlockQueue {
+export function createBlockQueue(pool?: BlockPool): BlockQueue {
   let blocks: Buffer[] = [];
   let heldBytes = 0;
   let freeBytes = 0;
@@ -37,7 +42,9 @@
       freeBytes -= fitting;
       const rest = chunk.length - fitting;
       if (rest > 0) {
-        const block = Buffer.alloc(Math.max(rest, Math.min(heldBytes, MAX_BLOCK_BYTES)));
+        const size = Math.max(rest, Math.min(heldBytes, BLOCK_BYTES));
+        const isPooled = pool && size > MAX_SMALL_BLOCK_BYTES && size <= BLOCK_BYTES;
+        const block = isPooled ? pool.take() : Buffer.alloc(size);
         chunk.copy(block, 0, fitting);
         blocks.push(block);
         freeBytes = block.length - rest;
@@ -53,12 +60,14 @@
       return used;
     },
     bytes: () => heldBytes,
+    allocatedBytes: () => heldBytes + freeBytes,
     blocks: () => {
       const last = blocks.at(-1);
       if (!last || freeBytes === 0) return blocks;
       return [...blocks.slice(0, -1), last.subarray(0, last.length - freeBytes)];
     },
     clear: () => {
+      if (pool) blocks.filter(({ length }) => length === BLOCK_BYTES).forEach(pool.give);
       blocks = [];
       heldBytes = 0;
       freeBytes = 0;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -24,6 +24,7 @@
 } from './queue.js';
 export {
   answerBytesOfHost,
+  requestBytesOfHost,
   createByteMemory,
   type ByteMemory,
   type ByteMemoryOptions,
--- a/packages/routing/src/memory.ts
+++ b/packages/routing/src/memory.ts
@@ -1,34 +1,43 @@
+import { createBlockPool, type BlockPool } from './pool.js';
+
 /**
  * Bounds the bytes that a host holds: of answers until they are complete or their callers read them, of
  * bodies of requests until the requests have ended.
  */
 export interface ByteMemory {
   /**
-   * @param onShortage ends an answer whose bytes are needed for others; its holding is closed then.
-   * Without it the answer is never ended for others
+   * @param onShortage ends an answer or a request whose bytes are needed for others; its holding is closed
+   * then. Without it the holding is never ended for others
    */
   open(onShortage?: (heldBytes: number) => void): Holding;
   /** Unread bytes from which on a stream is paused: fewer, the more the host holds already. */
   streamBytes(): number;
   heldBytes(): number;
+  /** Blocks for what is held. */
+  readonly pool: BlockPool;
 }
 
 /** Bytes that one answer holds. */
 export interface Holding {
   /**
-   * Changes the held bytes. If the memory is short, the answers that hold the most are ended first.
-   * @returns false if the bytes stay as they are, because no answer that may be ended holds more
+   * Changes the held bytes. If the memory is short, the holdings with the most bytes are ended first.
+   * @returns false if the bytes stay as they are, because no holding that may be ended has more
    */
   resize(bytes: number): boolean;
+  /**
+   * Lets the holding not be ended for others any more.
+   * @returns false if less than as many bytes would be free beside it, so that it has to be closed
+   */
+  keep(): boolean;
   bytes(): number;
   close(): void;
 }
 
 /** Options of {@link createByteMemory}. */
 export interface ByteMemoryOptions {
-  /** Most bytes of all answers together. */
+  /** Most bytes of all holdings together. */
   readonly totalBytes?: number;
-  /** Most bytes of one answer that may not be ended for others. */
+  /** Most bytes of one holding that is opened without `onShortage`. */
   readonly holdingBytes?: number;
   /** Most unread bytes of one stream. */
   readonly streamBytes?: number;
@@ -47,11 +56,18 @@
  * Fraction of a host's memory. A host without callers uses 85 to 96 MiB; the smallest hosts have 210 MB,
  * and a sixth of it still holds the largest answer of 16 MB, which may take half.
  */
-const HOST_FRACTION = 1 / 6;
+const ANSWER_FRACTION = 1 / 6;
+/** Beside answers, and beside 32 MB that the garbage collector lets the blocks of connections pile up. */
+const REQUEST_FRACTION = 1 / 8;
 
 /** @returns the most bytes of all answers together, for a host with so much memory */
 export function answerBytesOfHost(memoryBytes: number): number {
-  return Math.floor(memoryBytes * HOST_FRACTION);
+  return Math.floor(memoryBytes * ANSWER_FRACTION);
+}
+
+/** @returns the most bytes of all bodies of requests together, for a host with so much memory */
+export function requestBytesOfHost(memoryBytes: number): number {
+  return Math.floor(memoryBytes * REQUEST_FRACTION);
 }
 
 interface OpenHolding {
@@ -60,13 +76,13 @@
 }
 
 /**
- * Creates the memory of one host. An answer that may not be ended for others may hold at most as much as
- * is left for them, so that large answers always leave room for small ones.
+ * Creates a memory of one host. A holding that may not be ended for others may have at most as many bytes as
+ * are left for them, so that large ones always leave room for small ones.
  */
 export function createByteMemory(options: ByteMemoryOptions = {}): ByteMemory {
   const { totalBytes = DEFAULT_TOTAL_BYTES, holdingBytes = DEFAULT_HOLDING_BYTES } = options;
   const { streamBytes = DEFAULT_STREAM_BYTES } = options;
-  /** Answers that may be ended for others. */
+  /** Holdings that may be ended for others. */
   const endable = new Set<OpenHolding>();
   let usedBytes = 0;
 
@@ -77,7 +93,7 @@
     endable.delete(released);
   };
 
-  /** Ends the answer that holds the most, if it holds more than the given bytes. */
+  /** Ends the holding with the most bytes, if it has more than the given ones. */
   const endLargest = (bytes: number): boolean => {
     let largest: OpenHolding | undefined;
     endable.forEach((holding) => {
@@ -105,11 +121,18 @@
           holding.bytes = bytes;
           return true;
         },
+        keep: () => {
+          while (holding.bytes > totalBytes - usedBytes)
+            if (!endLargest(holding.bytes)) return false;
+          endable.delete(holding);
+          return true;
+        },
         bytes: () => holding.bytes,
         close: () => release(holding),
       };
     },
     streamBytes: () => Math.min(streamBytes, Math.max(0, totalBytes - usedBytes) * STREAM_FRACTION),
     heldBytes: () => usedBytes,
+    pool: createBlockPool(),
   };
 }
--- /dev/null
+++ b/packages/routing/test/bodies.ts
@@ -0,0 +1,133 @@
+/** Steps that send bodies to a server that reads them into one memory. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, request as sendRequest, type Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { connect } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { collectBody, createByteMemory, type ByteMemory } from '@bulrushspar/routing';
+import fc from 'fast-check';
+
+interface BodiesWorld {
+  memory: ByteMemory;
+  server: Server;
+  sockets: Socket[];
+  /** Results in the order of the callers. */
+  results: string[];
+}
+
+const LOOPBACK = '127.0.0.1';
+const MAX_BYTES = 500_000;
+const SETTLE_MILLISECONDS = 100;
+const OPEN = 'open';
+const WHOLE = 'whole';
+const RUNS = 30;
+
+const getPort = ({ server }: BodiesWorld): number => (server.address() as AddressInfo).port;
+
+Given('a host with {int} bytes for bodies', async function open(this: BodiesWorld, bytes: number) {
+  this.memory = createByteMemory({ totalBytes: bytes });
+  this.sockets = [];
+  this.results = [];
+  this.server = createServer((request, response) => {
+    const index = Number(request.headers['x-index']);
+    this.results[index] = OPEN;
+    collectBody(request, { maxBytes: MAX_BYTES, memory: this.memory }).then(
+      ({ content, holding, fault }) => {
+        this.results[index] = fault ?? WHOLE;
+        response.on('close', () => holding?.close());
+        // The requests whose callers name no index are answered, the others stay under way.
+        if (Number.isNaN(index)) response.end(content);
+      },
+      () => {},
+    );
+  });
+  this.server.listen(0, LOOPBACK);
+  await once(this.server, 'listening');
+});
+
+After({ tags: '@bodies' }, function close(this: BodiesWorld) {
+  this.sockets?.forEach((socket) => socket.destroy());
+  this.server?.closeAllConnections();
+  this.server?.close();
+});
+
+async function sendPart(world: BodiesWorld, bytes: number, declaredBytes: number): Promise<void> {
+  const socket = connect(getPort(world), LOOPBACK);
+  socket.on('error', () => {});
+  const head = `POST / HTTP/1.1\r\nhost: a\r\nx-index: ${world.sockets.length}\r\ncontent-length: ${declaredBytes}\r\n\r\n`;
+  world.sockets.push(socket);
+  socket.write(head);
+  socket.write(Buffer.alloc(bytes));
+  await wait(SETTLE_MILLISECONDS);
+}
+
+When(
+  /^callers send (\d+) and (\d+) of (\d+) bytes$/,
+  async function send(this: BodiesWorld, first: string, second: string, declared: string) {
+    await sendPart(this, Number(first), Number(declared));
+    await sendPart(this, Number(second), Number(declared));
+  },
+);
+
+When(
+  'a caller sends a whole body of {int} bytes',
+  async function send(this: BodiesWorld, bytes: number) {
+    await sendPart(this, bytes, bytes);
+  },
+);
+
+When('all callers have left', async function leave(this: BodiesWorld) {
+  this.sockets.forEach((socket) => socket.destroy());
+  await wait(SETTLE_MILLISECONDS);
+});
+
+Then('the results are {string}', function check(this: BodiesWorld, results: string) {
+  assert.equal(this.results.join(', '), results);
+});
+
+Then('the host holds {int} bytes', function check(this: BodiesWorld, bytes: number) {
+  assert.equal(this.memory.heldBytes(), bytes);
+});
+
+/** Sends a body in chunks, and returns what the server has read. */
+function sendChunks(world: BodiesWorld, chunks: readonly Uint8Array[]): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const request = sendRequest(
+      { host: LOOPBACK, port: getPort(world), method: 'POST' },
+      (response) => {
+        const parts: Buffer[] = [];
+        response.on('data', (part: Buffer) => parts.push(part));
+        response.on('end', () => resolve(Buffer.concat(parts)));
+      },
+    );
+    request.on('error', reject);
+    chunks.forEach((chunk) => request.write(chunk));
+    request.end();
+  });
+}
+
+const fillChunk = ([length, value]: readonly [number, number]): Buffer =>
+  Buffer.alloc(length, value);
+const chunkLists = fc.array(
+  fc.array(fc.tuple(fc.integer({ min: 1, max: 90_000 }), fc.nat(255)).map(fillChunk), {
+    minLength: 1,
+    maxLength: 5,
+  }),
+  { minLength: 1, maxLength: 6 },
+);
+
+Then(
+  'bodies in chunks of any size, sent at once and one after another, arrive unchanged',
+  { timeout: 30_000 },
+  async function check(this: BodiesWorld) {
+    await fc.assert(
+      fc.asyncProperty(chunkLists, async (bodies) => {
+        const received = await Promise.all(bodies.map((chunks) => sendChunks(this, chunks)));
+        received.forEach((body, index) => assert.ok(body.equals(Buffer.concat(bodies[index]!))));
+      }),
+      { numRuns: RUNS },
+    );
+  },
+);
