--- a/packages/operator/src/operator.ts
+++ b/packages/operator/src/operator.ts
@@ -1,6 +1,13 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { errorMessage } from '@bulrushspar/errors';
+import {
+  boundInput,
+  collectBody,
+  createByteMemory,
+  dropBody,
+  type ByteMemory,
+} from '@bulrushspar/routing';
 
 /** Response to an operator's request. */
 export interface OperatorResponse {
@@ -42,17 +49,17 @@
 const MAX_BODY_BYTES = 8_000_000;
 const INVALID_BODY = Symbol('unreadable body');
 
-async function readJsonBody(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > MAX_BODY_BYTES) throw new Error('the request body is too large');
-    chunks.push(chunk);
+async function readJsonBody(request: IncomingMessage, memory: ByteMemory): Promise<unknown> {
+  const { content, holding, fault } = await collectBody(request, {
+    maxBytes: MAX_BODY_BYTES,
+    memory,
+  });
+  if (!content) throw new Error(`the request body is not read: ${fault}`);
+  try {
+    return content.length === 0 ? undefined : (JSON.parse(content.toString('utf8')) as unknown);
+  } finally {
+    holding.close();
   }
-  return sizeBytes === 0
-    ? undefined
-    : (JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown);
 }
 
 function matchPattern(pattern: string, path: string): Record<string, string> | undefined {
@@ -73,9 +80,11 @@
 /** Creates the server; every operation requires the shared token. */
 export function createOperatorServer(options: OperatorServerOptions): OperatorServer {
   const expectedDigest = hashSha256(`Bearer ${options.token}`);
+  const memory = createByteMemory();
 
   const handleRequest = async (request: IncomingMessage): Promise<OperatorResponse> => {
     if (!timingSafeEqual(hashSha256(request.headers.authorization ?? ''), expectedDigest)) {
+      dropBody(request, MAX_BODY_BYTES);
       return { status: 401, body: { error: 'the operator token is missing or wrong' } };
     }
     const url = new URL(request.url!, 'http://operators');
@@ -84,12 +93,13 @@
         method === request.method ? matchPattern(pattern, url.pathname) : undefined;
       if (parameters) {
         // eslint-disable-next-line no-await-in-loop -- only one operation matches
-        const body = await readJsonBody(request).catch(() => INVALID_BODY);
+        const body = await readJsonBody(request, memory).catch(() => INVALID_BODY);
         if (body === INVALID_BODY)
           return { status: 400, body: { error: 'the request body is not valid JSON' } };
         return perform({ parameters, query: url.searchParams, body });
       }
     }
+    dropBody(request, MAX_BODY_BYTES);
     return {
       status: 404,
       body: { error: `there is no operation ${request.method} ${url.pathname}` },
@@ -108,6 +118,7 @@
   const server = createServer((request, response) => {
     respond(request, response).catch(() => response.destroy());
   });
+  boundInput(server, { memory });
   return {
     listen: (address, port) =>
       new Promise((resolve, reject) => {
--- a/packages/peer/src/network.ts
+++ b/packages/peer/src/network.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { WebSocket, WebSocketServer } from 'ws';
 import type { Clock } from '@bulrushspar/clock';
+import { boundInput, dropBody } from '@bulrushspar/routing';
 import type { Incarnation } from '@bulrushspar/store';
 import { createConnection, type Connection, type Traffic } from './connection.js';
 import { ROLE, performHandshake, type Role } from './handshake.js';
@@ -58,6 +59,8 @@
 const MAX_MESSAGE_BYTES = 4_000_000;
 const CONNECT_TIMEOUT_MILLISECONDS = 2000;
 const UPGRADE_REQUIRED = 426;
+/** Most bytes of the body of a request that is no upgrade, before its connection is closed. */
+const MAX_BODY_BYTES = 4096;
 
 const formatPeerUrl = ({ address, port }: PeerAddress): string =>
   address.includes(':') ? `ws://[${address}]:${port}` : `ws://${address}:${port}`;
@@ -142,9 +145,11 @@
   return {
     listen: (address, port) =>
       new Promise((resolve, reject) => {
-        server = createServer((_request, response) => {
-          response.writeHead(UPGRADE_REQUIRED).end();
+        server = createServer((request, response) => {
+          dropBody(request, MAX_BODY_BYTES);
+          response.writeHead(UPGRADE_REQUIRED, { connection: 'close' }).end();
         });
+        boundInput(server, { allowsUpgrades: true });
         serveTunnels(server, { secrets, openTarget });
         const webSocketServer = new WebSocketServer({
           server,
--- a/packages/routing/src/input.ts
+++ b/packages/routing/src/input.ts
@@ -6,19 +6,21 @@
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { processReads, type ReadSchedule } from '@bulrushspar/targets';
-import type { ByteMemory } from './memory.js';
+import { createByteMemory, type ByteMemory } from './memory.js';
 import { BLOCK_BYTES } from './pool.js';
 
 /** Options of {@link boundInput}. */
 export interface InputOptions {
-  /** Bounds the bytes that wait to be parsed. */
-  readonly memory: ByteMemory;
+  /** Bounds the bytes that wait to be parsed; by default a memory of this server alone. */
+  readonly memory?: ByteMemory;
   /** Shares the time for reading with other connections; by default with all of the process. */
   readonly reads?: ReadSchedule;
   /** Requests of one connection that may be open before the next one is begun. */
   readonly maxOpenRequests?: number;
   /** Called when a connection is closed because its bytes do not fit in the memory. */
   readonly onShortage?: () => void;
+  /** Whether connections may go over to other protocols; the server needs listeners for these events then. */
+  readonly allowsUpgrades?: boolean;
 }
 
 /** Input of one connection. */
@@ -26,9 +28,14 @@
   /** Has to be called before the request is handled. */
   beginRequest(request: IncomingMessage): void;
   endRequest(): void;
+  /** Leaves the connection, with what was not parsed, to another protocol. */
+  unbind(): void;
 }
 
 const DEFAULT_MAX_OPEN_REQUESTS = 8;
+/** Of a server that reads no bodies. */
+const DEFAULT_MEMORY_BYTES = 8_000_000;
+const UPGRADE_EVENTS = ['upgrade', 'connect'];
 /** Fewer bytes are kept without a block. */
 const MAX_SMALL_BYTES = 8192;
 const NO_BYTES = Buffer.alloc(0);
@@ -40,7 +47,9 @@
   return index < 0 ? bytes.length : index + END_OF_HEAD.length;
 }
 
-function boundConnection(socket: Socket, options: Required<InputOptions>): Input {
+type ConnectionOptions = Required<Omit<InputOptions, 'allowsUpgrades'>>;
+
+function boundConnection(socket: Socket, options: ConnectionOptions): Input {
   const { memory, reads, maxOpenRequests, onShortage } = options;
   const push = Readable.prototype.push.bind(socket);
   // eslint-disable-next-line no-underscore-dangle -- streams are read by this method
@@ -163,9 +172,17 @@
     },
   });
   // The server reads from the handle of the socket, past its methods, until someone else listens for its data.
-  socket.on('data', () => {});
+  const ignore = (): void => {};
+  socket.on('data', ignore);
 
   return {
+    unbind: () => {
+      const rest = Buffer.from(held);
+      release();
+      socket.removeListener('data', ignore);
+      Object.assign(socket, { push, _read: readMore });
+      if (rest.length > 0) push(rest);
+    },
     beginRequest: (request) => {
       openRequests += 1;
       lastRequest = request;
@@ -181,9 +198,10 @@
  * Bounds the input of all connections of a server, in each turn of the event loop and by open requests. What waits is
  * neither refused nor lost: the connection is not read from meanwhile. Has to be called before the server listens.
  */
-export function boundInput(server: Server, options: InputOptions): void {
+export function boundInput(server: Server, options: InputOptions = {}): void {
   const { reads = processReads, maxOpenRequests = DEFAULT_MAX_OPEN_REQUESTS } = options;
-  const { memory, onShortage = () => {} } = options;
+  const { memory = createByteMemory({ totalBytes: DEFAULT_MEMORY_BYTES }) } = options;
+  const { onShortage = () => {}, allowsUpgrades = false } = options;
   const inputs = new WeakMap<Socket, Input>();
   server.on('connection', (socket: Socket) => {
     const input = boundConnection(socket, { memory, reads, maxOpenRequests, onShortage });
@@ -194,4 +212,11 @@
     input?.beginRequest(request);
     response.once('close', () => input?.endRequest());
   });
+  // A server without listeners handles such requests like all others.
+  if (!allowsUpgrades) return;
+  UPGRADE_EVENTS.forEach((event) =>
+    server.prependListener(event, (_request: IncomingMessage, socket: Socket) =>
+      inputs.get(socket)?.unbind(),
+    ),
+  );
 }
--- a/packages/routing/test/input.feature
+++ b/packages/routing/test/input.feature
@@ -20,3 +20,15 @@
     And it has room for 140000 bytes
     When 3 callers send requests ahead that are not answered
     Then one of them is closed, and the others are not
+
+  # Guards against a protocol after an upgrade whose first bytes are lost, or that is read in slices.
+  Scenario Outline: Another protocol gets the connection as it is after <method>
+    Given a server that parses 64 bytes or 4 lines at once, and 2 requests of a connection beside each other
+    When a caller sends <method> and 200000 bytes at once
+    Then all 200000 bytes reach the other protocol
+    And it holds 0 bytes
+
+    Examples:
+      | method  |
+      | GET     |
+      | CONNECT |
--- a/packages/routing/test/input.ts
+++ b/packages/routing/test/input.ts
@@ -2,8 +2,9 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { setTimeout as wait } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { boundInput, createByteMemory, type ByteMemory } from '@bulrushspar/routing';
@@ -18,6 +19,7 @@
   mostOpen: number;
   answersRequests: boolean;
   answers: string[];
+  receivedBytes: number;
 }
 
 interface SentRequest {
@@ -50,7 +52,16 @@
       if (changed.answersRequests) setImmediate(() => response.end(hash(Buffer.concat(parts))));
     });
   });
+  const collect = (_request: IncomingMessage, socket: Duplex, head: Buffer): void => {
+    changed.receivedBytes = head.length;
+    socket.on('data', (part: Buffer) => {
+      changed.receivedBytes += part.length;
+    });
+  };
+  changed.server.on('upgrade', collect);
+  changed.server.on('connect', collect);
   boundInput(changed.server, {
+    allowsUpgrades: true,
     memory: changed.memory,
     reads: createReadSchedule({ sliceBytes, sliceLines, slicesPerTurn: 1 }),
     maxOpenRequests,
@@ -202,3 +213,18 @@
 Then('one of them is closed, and the others are not', function check(this: InputWorld) {
   assert.equal(this.closedCount, 1);
 });
+
+When(
+  /^a caller sends (GET|CONNECT) and (\d+) bytes at once$/,
+  async function send(this: InputWorld, method: string, bytes: string) {
+    const socket = await open(this);
+    const target = method === 'CONNECT' ? 'a:1' : '/';
+    const head = `${method} ${target} HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n`;
+    socket.write(Buffer.concat([Buffer.from(head), Buffer.alloc(Number(bytes))]));
+    await wait(SETTLE_MILLISECONDS);
+  },
+);
+
+Then('all {int} bytes reach the other protocol', function check(this: InputWorld, bytes: number) {
+  assert.equal(this.receivedBytes, bytes);
+});
