--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -31,13 +31,14 @@
 
 /**
  * Reads the complete body of a request, which counts in the memory until the request is answered. Rejects with a
- * refusal if it is larger than `maxBytes`, or comes in too many small chunks.
+ * refusal if it is larger than `maxBytes`, comes in too many small chunks, does not fit in the memory, or if the
+ * request is aborted.
  */
 export async function readBody(
-  { request, response }: Pick<RequestContext, 'request' | 'response'>,
+  { request, response, signal }: Pick<RequestContext, 'request' | 'response' | 'signal'>,
   options: CollectBodyOptions,
 ): Promise<Buffer> {
-  const { content, holding, fault } = await collectBody(request, options);
+  const { content, holding, fault } = await collectBody(request, { ...options, signal });
   if (content) {
     if (response.closed) holding.close();
     else response.once('close', holding.close);
--- a/packages/routing/src/body.ts
+++ b/packages/routing/src/body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { Clock, Stop } from '@bulrushspar/clock';
 import { createBlockQueue } from './buffer.js';
 import type { ByteMemory, Holding } from './memory.js';
 
@@ -10,6 +11,8 @@
   TOO_FRAGMENTED: 'too-fragmented',
   /** The host holds too many bytes of requests, and this body has the most of them or does not fit. */
   NO_MEMORY: 'no-memory',
+  /** Its caller has sent nothing of it for too long. */
+  STALLED: 'stalled',
 } as const;
 
 /** One of {@link BODY_FAULT}. */
@@ -25,14 +28,26 @@
     }
   | { readonly content?: undefined; readonly holding?: undefined; readonly fault: BodyFault };
 
+/** Longest time without a byte of a body. */
+export interface IdleLimit {
+  readonly clock: Clock;
+  readonly milliseconds: number;
+}
+
 /** Options of {@link collectBody}. */
 export interface CollectBodyOptions {
   /** Most bytes of the body. */
   readonly maxBytes: number;
   /** Bounds the bytes of all bodies that are held. */
   readonly memory: ByteMemory;
+  /** Longest time without a byte of the body; without a limit by default. */
+  readonly idle?: IdleLimit;
+  /** Ends the reading; the rest is dropped then, and the result rejects with the reason of the signal. */
+  readonly signal?: AbortSignal;
 }
 
+/** Time in which input that has arrived is handled. */
+const INPUT_MILLISECONDS = 100;
 /** Small chunks that any body may have, whatever its length. */
 const MAX_SMALL_CHUNKS = 1024;
 /** Fewer bytes in a chunk, on average, cost more for the chunk than for the bytes. */
@@ -72,8 +87,9 @@
  */
 export function collectBody(
   request: IncomingMessage,
-  { maxBytes, memory }: CollectBodyOptions,
+  options: CollectBodyOptions,
 ): Promise<BodyResult> {
+  const { maxBytes, memory, idle, signal } = options;
   return new Promise((resolve, reject) => {
     const holding = memory.open(() => fail(BODY_FAULT.NO_MEMORY));
     const declaredBytes = Number(request.headers['content-length'] ?? NaN);
@@ -83,20 +99,51 @@
     let size = 0;
     let chunks = 0;
     let isSettled = false;
+    let cancelIdle: Stop = () => {};
 
-    const fail = (fault: BodyFault): void => {
+    const settle = (): void => {
       isSettled = true;
+      cancelIdle();
+      signal?.removeEventListener('abort', onAbort);
+      blocks.clear();
+    };
+    const release = (): void => {
+      settle();
       request.removeListener('data', onData);
       onlyChunk = undefined;
-      blocks.clear();
       holding.close();
+    };
+    const fail = (fault: BodyFault): void => {
+      release();
       resolve({ fault });
       if (fault === BODY_FAULT.TOO_FRAGMENTED) stopReading(request);
       else dropBody(request, maxBytes);
     };
+    const onAbort = (): void => {
+      release();
+      const { reason } = signal as { readonly reason: Error };
+      reject(reason);
+      dropBody(request, maxBytes);
+    };
+    let readAt = idle?.clock.monotonic() ?? 0;
+    let isStalled = false;
+    /** Checks the time since the last byte, in place of a timer for each chunk. */
+    const watchIdle = ({ clock, milliseconds }: IdleLimit, waitMilliseconds: number): void => {
+      cancelIdle = clock.after(waitMilliseconds, () => {
+        const leftMilliseconds = milliseconds - (clock.monotonic() - readAt);
+        if (isStalled) fail(BODY_FAULT.STALLED);
+        else {
+          // A process that was stopped itself handles its timers before the bytes that have arrived.
+          isStalled = leftMilliseconds <= 0;
+          watchIdle({ clock, milliseconds }, isStalled ? INPUT_MILLISECONDS : leftMilliseconds);
+        }
+      });
+    };
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
       chunks += 1;
+      if (idle) readAt = idle.clock.monotonic();
+      isStalled = false;
       if (size > maxBytes) fail(BODY_FAULT.TOO_LARGE);
       else if (isTooFragmented(chunks, size)) fail(BODY_FAULT.TOO_FRAGMENTED);
       else {
@@ -117,18 +164,20 @@
         fail(BODY_FAULT.NO_MEMORY);
         return;
       }
-      isSettled = true;
       const content = onlyChunk ?? Buffer.concat(blocks.blocks());
-      blocks.clear();
+      settle();
       resolve({ content, holding });
     });
     request.once('error', reject);
     request.once('close', () => {
       if (isSettled) return;
-      blocks.clear();
-      holding.close();
+      release();
       reject(new Error('the connection ended before the request'));
     });
+    signal?.addEventListener('abort', onAbort, { once: true });
+    const hasBody = declaredBytes > 0 || request.headers['transfer-encoding'] !== undefined;
+    if (idle && hasBody) watchIdle(idle, idle.milliseconds);
     passChunksOn(request);
+    if (signal?.aborted) onAbort();
   });
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,7 @@
   type BodyFault,
   type BodyResult,
   type CollectBodyOptions,
+  type IdleLimit,
 } from './body.js';
 export { chooseServer, type ServerSelectionOptions, type Random } from './choose.js';
 export { createEventSplitter, type EventSplitter } from './events.js';
--- a/packages/routing/test/bodies.feature
+++ b/packages/routing/test/bodies.feature
@@ -28,3 +28,15 @@
   Scenario: Bodies in chunks of any size arrive unchanged
     Given a host with 40000000 bytes for bodies
     Then bodies in chunks of any size, sent at once and one after another, arrive unchanged
+
+  # Guards against bodies that stop, and are held as long as their connections are open.
+  Scenario: A body that has stopped is given up, and one that is slow is not
+    Given a host with 400000 bytes for bodies, which waits 300 ms for the rest of a body
+    When callers send 1000 of 2000 bytes, then one of them 10 bytes each 100 ms
+    Then after 1000 ms the results are "stalled, open"
+
+  Scenario: A request that is aborted while its body comes holds nothing
+    Given a host with 400000 bytes for bodies, which aborts requests after 200 ms
+    When callers send 1000 and 100000 of 250000 bytes
+    Then after 500 ms the results are "aborted, aborted"
+    And the host holds 0 bytes
--- a/packages/routing/test/bodies.ts
+++ b/packages/routing/test/bodies.ts
@@ -6,6 +6,7 @@
 import { connect } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { createSystemClock } from '@bulrushspar/clock';
 import { collectBody, createByteMemory, type ByteMemory } from '@bulrushspar/routing';
 import fc from 'fast-check';
 
@@ -17,6 +18,11 @@
   results: string[];
 }
 
+interface BodyTiming {
+  readonly idleMilliseconds?: number;
+  readonly abortMilliseconds?: number;
+}
+
 const LOOPBACK = '127.0.0.1';
 const MAX_BYTES = 500_000;
 const SETTLE_MILLISECONDS = 100;
@@ -26,27 +32,55 @@
 
 const getPort = ({ server }: BodiesWorld): number => (server.address() as AddressInfo).port;
 
-Given('a host with {int} bytes for bodies', async function open(this: BodiesWorld, bytes: number) {
-  this.memory = createByteMemory({ totalBytes: bytes });
-  this.sockets = [];
-  this.results = [];
-  this.server = createServer((request, response) => {
+async function listen(world: BodiesWorld, bytes: number, timing: BodyTiming = {}): Promise<void> {
+  const opened = world;
+  const { idleMilliseconds, abortMilliseconds } = timing;
+  const clock = createSystemClock();
+  opened.memory = createByteMemory({ totalBytes: bytes });
+  opened.sockets = [];
+  opened.results = [];
+  opened.server = createServer((request, response) => {
     const index = Number(request.headers['x-index']);
-    this.results[index] = OPEN;
-    collectBody(request, { maxBytes: MAX_BYTES, memory: this.memory }).then(
+    opened.results[index] = OPEN;
+    collectBody(request, {
+      maxBytes: MAX_BYTES,
+      memory: opened.memory,
+      ...(idleMilliseconds ? { idle: { clock, milliseconds: idleMilliseconds } } : {}),
+      ...(abortMilliseconds ? { signal: AbortSignal.timeout(abortMilliseconds) } : {}),
+    }).then(
       ({ content, holding, fault }) => {
-        this.results[index] = fault ?? WHOLE;
+        opened.results[index] = fault ?? WHOLE;
         response.on('close', () => holding?.close());
         // The requests whose callers name no index are answered, the others stay under way.
         if (Number.isNaN(index)) response.end(content);
       },
-      () => {},
+      () => {
+        opened.results[index] = 'aborted';
+      },
     );
   });
-  this.server.listen(0, LOOPBACK);
-  await once(this.server, 'listening');
+  opened.server.listen(0, LOOPBACK);
+  await once(opened.server, 'listening');
+}
+
+Given('a host with {int} bytes for bodies', async function open(this: BodiesWorld, bytes: number) {
+  await listen(this, bytes);
 });
 
+Given(
+  'a host with {int} bytes for bodies, which waits {int} ms for the rest of a body',
+  async function open(this: BodiesWorld, bytes: number, idleMilliseconds: number) {
+    await listen(this, bytes, { idleMilliseconds });
+  },
+);
+
+Given(
+  'a host with {int} bytes for bodies, which aborts requests after {int} ms',
+  async function open(this: BodiesWorld, bytes: number, abortMilliseconds: number) {
+    await listen(this, bytes, { abortMilliseconds });
+  },
+);
+
 After({ tags: '@bodies' }, function close(this: BodiesWorld) {
   this.sockets?.forEach((socket) => socket.destroy());
   this.server?.closeAllConnections();
@@ -78,6 +112,22 @@
   },
 );
 
+When(
+  'callers send {int} of {int} bytes, then one of them {int} bytes each {int} ms',
+  async function send(
+    this: BodiesWorld,
+    bytes: number,
+    declaredBytes: number,
+    more: number,
+    milliseconds: number,
+  ) {
+    await sendPart(this, bytes, declaredBytes);
+    await sendPart(this, bytes, declaredBytes);
+    const timer = setInterval(() => this.sockets[1]!.write(Buffer.alloc(more)), milliseconds);
+    this.sockets[1]!.on('close', () => clearInterval(timer));
+  },
+);
+
 When('all callers have left', async function leave(this: BodiesWorld) {
   this.sockets.forEach((socket) => socket.destroy());
   await wait(SETTLE_MILLISECONDS);
@@ -87,6 +137,14 @@
   assert.equal(this.results.join(', '), results);
 });
 
+Then(
+  'after {int} ms the results are {string}',
+  async function check(this: BodiesWorld, milliseconds: number, results: string) {
+    await wait(milliseconds);
+    assert.equal(this.results.join(', '), results);
+  },
+);
+
 Then('the host holds {int} bytes', function check(this: BodiesWorld, bytes: number) {
   assert.equal(this.memory.heldBytes(), bytes);
 });
