--- a/packages/routing/src/events.ts
+++ b/packages/routing/src/events.ts
@@ -1,3 +1,5 @@
+import { createBlockQueue } from './buffer.js';
+
 /** Incremental parser that splits an event stream into complete events. */
 export interface EventSplitter {
   /** @returns the bytes up to the end of the last complete event; undefined if none is complete */
@@ -50,13 +52,11 @@
 /** Creates a splitter for one event stream. */
 export function createEventSplitter(): EventSplitter {
   const scanner = createEventScanner();
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
+  const pending = createBlockQueue();
   let lastEventId: string | undefined;
 
   const hold = (bytes: Buffer): void => {
-    if (bytes.length > 0) pending.push(bytes);
-    pendingBytes += bytes.length;
+    if (bytes.length > 0) pending.append(bytes);
   };
 
   return {
@@ -66,14 +66,13 @@
         hold(chunk);
         return undefined;
       }
-      const complete = Buffer.concat([...pending, chunk.subarray(0, completeBytes)]);
-      pending = [];
-      pendingBytes = 0;
+      const complete = Buffer.concat([...pending.blocks(), chunk.subarray(0, completeBytes)]);
+      pending.clear();
       hold(chunk.subarray(completeBytes));
       for (const match of complete.toString('latin1').matchAll(ID_LINE)) [, lastEventId] = match;
       return complete;
     },
     lastEventId: () => lastEventId,
-    pendingBytes: () => pendingBytes,
+    pendingBytes: pending.bytes,
   };
 }
