--- a/packages/routing/test/input.feature
+++ b/packages/routing/test/input.feature
@@ -14,6 +14,14 @@
     When a caller sends 20 requests ahead, 3 times, and ends its side after the answers
     Then it has 60 answers, and the connection has ended
 
+  # Guards against requests that are all begun at once when a connection, paused for its unread answers, is read on.
+  Scenario: Requests ahead of answers that are not read wait as well
+    Given a server that parses 64 bytes or 4 lines at once, and 2 requests of a connection beside each other
+    And its answers have 200000 bytes
+    When a caller sends 300 requests ahead, and reads the answers only after 300 ms
+    Then it has 300 answers
+    And it has begun at most 3 requests of a connection beside each other
+
   # Guards against bytes that wait for a turn and add up beyond the memory of the host.
   Scenario: A connection whose waiting bytes have no room is closed
     Given a server that parses 64 bytes or 4 lines at once, and 2 requests of a connection beside each other
--- a/packages/routing/test/input.ts
+++ b/packages/routing/test/input.ts
@@ -20,6 +20,7 @@
   answersRequests: boolean;
   answers: string[];
   receivedBytes: number;
+  answerBytes: number;
 }
 
 interface SentRequest {
@@ -49,7 +50,8 @@
     const parts: Buffer[] = [];
     request.on('data', (part: Buffer) => parts.push(part));
     request.on('end', () => {
-      if (changed.answersRequests) setImmediate(() => response.end(hash(Buffer.concat(parts))));
+      if (changed.answersRequests)
+        setImmediate(() => response.end(hash(Buffer.concat(parts)).padEnd(changed.answerBytes)));
     });
   });
   const collect = (_request: IncomingMessage, socket: Duplex, head: Buffer): void => {
@@ -76,7 +78,13 @@
 Given(
   /^a server that parses (\d+) bytes or (\d+) lines at once, and (\d+) requests of a connection beside each other$/,
   async function create(this: InputWorld, bytes: string, lines: string, requests: string) {
-    Object.assign(this, { sockets: [], closedCount: 0, mostOpen: 0, answersRequests: true });
+    Object.assign(this, {
+      sockets: [],
+      closedCount: 0,
+      mostOpen: 0,
+      answersRequests: true,
+      answerBytes: 0,
+    });
     await listen(this, 100_000_000, [bytes, lines, requests].map(Number));
   },
 );
@@ -86,6 +94,10 @@
   await listen(this, bytes, [64, 4, 2]);
 });
 
+Given('its answers have {int} bytes', function setLength(this: InputWorld, bytes: number) {
+  this.answerBytes = bytes;
+});
+
 After({ tags: '@input' }, function close(this: InputWorld) {
   this.sockets.forEach((socket) => socket.destroy());
   this.server.closeAllConnections();
@@ -103,12 +115,18 @@
 
 /** Reads until so many answers have come, and returns the text of their bodies. */
 async function readAnswers(socket: Socket, count: number): Promise<string[]> {
+  const answers: string[] = [];
   let text = '';
   for await (const part of socket.iterator({ destroyOnReturn: false })) {
     text += String(part);
-    if ((text.match(ANSWER) ?? []).length === count) break;
+    const found = [...text.matchAll(ANSWER)];
+    answers.push(...found.map(([, body]) => body!));
+    const last = found.at(-1);
+    if (last) text = text.slice(last.index + last[0].length);
+    text = text.trimStart();
+    if (answers.length === count) break;
   }
-  return [...text.matchAll(ANSWER)].map(([, body]) => body!);
+  return answers;
 }
 
 const frame = ({ body, isChunked }: SentRequest): Buffer => {
@@ -189,6 +207,20 @@
   },
 );
 
+When(
+  'a caller sends {int} requests ahead, and reads the answers only after {int} ms',
+  async function send(this: InputWorld, count: number, milliseconds: number) {
+    const socket = await open(this);
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(count));
+    await wait(milliseconds);
+    this.answers = await readAnswers(socket, count);
+  },
+);
+
+Then('it has {int} answers', function check(this: InputWorld, count: number) {
+  assert.equal(this.answers.length, count);
+});
+
 Then(
   'it has {int} answers, and the connection has ended',
   function check(this: InputWorld, count: number) {
