--- a/packages/serving/src/rest.ts
+++ b/packages/serving/src/rest.ts
@@ -109,11 +109,25 @@
     return { bytes, failure };
   };
 
+  /** @returns why the rest may not be asked for; undefined if it may, which takes a retry from the budget */
+  const findObstacle = (attempt: Attempt, count: number, service: string): string | undefined => {
+    if (count === MAX_REQUESTS) return 'it has ended too many parts';
+    if (!attempt.maySend()) return 'it may not receive the request any more';
+    return budget.takeRetry(service) ? undefined : 'the retry budget is used up';
+  };
+
   return async (request, attempt) => {
-    const { service } = request.admitted;
+    const { call, admitted, relay } = request;
     let hasReceived = false;
     for (let count = 0; isUnmarked(request); count += 1) {
-      if (count === MAX_REQUESTS || !attempt.maySend() || !budget.takeRetry(service)) {
+      const obstacle = findObstacle(attempt, count, admitted.service);
+      if (obstacle !== undefined) {
+        logger.info('rest of a stream not asked for', {
+          request: call.id,
+          server: attempt.server.id,
+          lastEventId: relay.lastEventId(),
+          why: obstacle,
+        });
         // The server has ended a part in order before, so that its word for the end is not enough.
         if (hasReceived) throw createIncompleteError(attempt.server.id);
         return;
