--- a/packages/peer/src/tunnel.ts
+++ b/packages/peer/src/tunnel.ts
@@ -2,6 +2,7 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import { request as sendRequest, type IncomingMessage, type Server } from 'node:http';
 import type { Socket } from 'node:net';
+import { detectResets } from '@bulrushspar/targets';
 import type { PeerAddress } from './network.js';
 
 /** Options of {@link openTunnel}. */
@@ -113,6 +114,7 @@
         socket.setNoDelay(true);
         socket.write(ESTABLISHED);
         if (head.length > 0) target.write(head);
+        detectResets(target);
         joinSockets(socket, target);
       },
       () => socket.end(BAD_GATEWAY),
--- a/packages/targets/src/client.ts
+++ b/packages/targets/src/client.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import { createReadSchedule, type ReadSchedule } from './reads.js';
+import { detectResets } from './resets.js';
 
 /** Options of {@link createTargetClient}. */
 export interface TargetClientOptions {
@@ -18,6 +19,8 @@
 /** Connection of a client and the answer that it receives. */
 interface ClientState {
   socket?: Socket;
+  /** Whether a request was sent whose answer has not ended. */
+  isExchanging: boolean;
   /** Bytes that the socket had received before the exchange. */
   earlierBytes: number;
   /** Bytes of the body that were passed on. */
@@ -47,11 +50,15 @@
 ): Dispatcher.DispatchHandler {
   const watched = state;
   const begin = (): void => {
+    watched.isExchanging = true;
     watched.earlierBytes = state.socket?.bytesRead ?? 0;
     watched.bodyBytes = 0;
     watched.earlierBodyBytes = 0;
     watched.lines = 0;
   };
+  const end = (): void => {
+    watched.isExchanging = false;
+  };
   const watchers: Partial<Dispatcher.DispatchHandler> = {
     onRequestStart: (...event) => {
       begin();
@@ -69,6 +76,14 @@
       watched.bodyBytes += chunk.length;
       if (chunk.length > 0) handler.onResponseData!(controller, chunk);
     },
+    onResponseEnd: (...event) => {
+      end();
+      handler.onResponseEnd!(...event);
+    },
+    onResponseError: (...event) => {
+      end();
+      handler.onResponseError!(...event);
+    },
     onHeaders: (status, headers, resume, text) => {
       watched.resume = resume;
       return handler.onHeaders!(status, headers, resume, text);
@@ -77,6 +92,14 @@
       watched.bodyBytes += chunk.length;
       return chunk.length === 0 || handler.onData!(chunk);
     },
+    onComplete: (...event) => {
+      end();
+      handler.onComplete!(...event);
+    },
+    onError: (...event) => {
+      end();
+      handler.onError!(...event);
+    },
   };
   return new Proxy(handler, {
     get: (target, name: keyof Dispatcher.DispatchHandler) => {
@@ -127,11 +150,13 @@
  * Creates an HTTP client with one connection to a target. Compensates for two properties of undici's
  * client, which concern answers that end with their connection: it reports them as complete after a
  * reset, and it throws outside of the exchange if the connection ends while the answer is paused.
+ * An answer is complete only if its connection has ended in order after all of the request was sent.
  */
 export function createTargetClient(options: TargetClientOptions): Client {
   const { origin, connectTimeoutMilliseconds, keepAliveMilliseconds, openSocket } = options;
   const { reads = processReads } = options;
   const state: ClientState = {
+    isExchanging: false,
     earlierBytes: 0,
     bodyBytes: 0,
     lines: 0,
@@ -148,7 +173,10 @@
       connect(connectOptions, (...result) => {
         const [, socket] = result;
         state.socket = socket ?? undefined;
-        if (socket) reads.bound(socket, (lines) => countLines(socket, state, lines));
+        if (socket) {
+          reads.bound(socket, (lines) => countLines(socket, state, lines));
+          detectResets(socket, { isNeeded: () => state.isExchanging });
+        }
         socket?.on('readable', () => endIfNoAnswer(socket, state));
         socket?.on('end', () => state.resume());
         socket?.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,5 +1,6 @@
 /** HTTP clients for targets: engines and plain services. */
 export { createTargetClient, processReads, type TargetClientOptions } from './client.js';
+export { detectResets, type ResetDetectionOptions } from './resets.js';
 export {
   createConnector,
   type Closable,
