--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -55,7 +55,10 @@
   lastEventId(): string | undefined;
   /** @returns whether what was sent to the caller ends inside an event of a stream */
   endsInsideEvent(): boolean;
-  /** @returns whether the attempt has sent events, and nothing of a further one; false if it may not resume */
+  /**
+   * Whether the stream may resume after what the attempt has sent: events, and nothing of a further one, or
+   * nothing at all of a stream that the caller has resumed.
+   */
   endsBetweenEvents(): boolean;
   /** Ends the answer after an attempt received all of it; throws if the answer is incomplete or absent. */
   finish(): void;
@@ -257,7 +260,10 @@
     lastEventId: () => lastEventId,
     endsInsideEvent: () => !resumable && scanner?.isInsideEvent() === true,
     endsBetweenEvents: () =>
-      resumable && attemptBytes > 0 && pendingBytes === 0 && lastEventId !== undefined,
+      resumable &&
+      pendingBytes === 0 &&
+      lastEventId !== undefined &&
+      (attemptBytes > 0 || !writer.hasBegun()),
     close: () => holding?.close(),
     finish: () => {
       if (!currentHead) throw createNoAnswerError();
--- a/packages/serving/src/rest.ts
+++ b/packages/serving/src/rest.ts
@@ -7,10 +7,16 @@
 import { errorMessage } from '@bulrushspar/errors';
 import type { Logger } from '@bulrushspar/logging';
 import type { RetryBudget } from '@bulrushspar/shares';
-import { createExchangeError, EXCHANGE_FAULT, EXCHANGE_PROGRESS } from '@bulrushspar/targets';
+import {
+  createExchangeError,
+  EXCHANGE_FAULT,
+  EXCHANGE_PROGRESS,
+  isExchangeError,
+} from '@bulrushspar/targets';
 import { isAnswerTo, isSuccess } from './answer.js';
 import type { ActiveRequest } from './attempts.js';
 import type { Attempt, Call, SendCall } from './call.js';
+import { createTargetFailedRefusal } from './refusals.js';
 
 /** Options of {@link createRestRequester}. */
 export interface RestRequesterOptions<SomeCall extends Call> {
@@ -24,8 +30,8 @@
 }
 
 /**
- * Receives what is missing of the stream that the attempt has passed on; rejects if a part of the rest was cut.
- * A stream of which nothing more could be asked for is taken as whole, as its server has outlived its end.
+ * Receives what is missing of the stream that the attempt has passed on. Rejects if a part of the rest was cut, or
+ * if its server could not be asked: a stream is whole only if its server has nothing more after the last event.
  */
 export type RequestRest<SomeCall extends Call> = (
   request: ActiveRequest<SomeCall>,
@@ -35,13 +41,19 @@
 /** Each of them has brought a part of the stream, but for the last one. */
 const MAX_REQUESTS = 4;
 
-const createIncompleteError = (server: string): Error =>
+const createUnconfirmedError = (server: string, why: string): Error =>
   createExchangeError(
-    new Error(`server ${server} ends parts of a stream, and was not asked for more`),
+    new Error(`nothing shows that server ${server} has ended the stream itself: ${why}`),
     EXCHANGE_PROGRESS.ANSWERED,
-    EXCHANGE_FAULT.CUT,
+    EXCHANGE_FAULT.UNCONFIRMED,
   );
 
+/** The stream itself has run, also if the request for its rest was rejected or not sent. */
+const describeFailure = (server: string, failure: unknown): unknown =>
+  isExchangeError(failure) && failure.progress !== EXCHANGE_PROGRESS.NOT_SENT
+    ? failure
+    : createUnconfirmedError(server, errorMessage(failure));
+
 /** Creates the function of one host. */
 export function createRestRequester<SomeCall extends Call>(
   options: RestRequesterOptions<SomeCall>,
@@ -109,34 +121,32 @@
     return { bytes, failure };
   };
 
-  /** @returns why the rest may not be asked for; undefined if it may, which takes a retry from the budget */
-  const findObstacle = (attempt: Attempt, count: number, service: string): string | undefined => {
-    if (count === MAX_REQUESTS) return 'it has ended too many parts';
-    if (!attempt.maySend()) return 'it may not receive the request any more';
-    return budget.takeRetry(service) ? undefined : 'the retry budget is used up';
+  /** Throws if the rest may not be asked for; takes a retry from the budget otherwise. */
+  const requireRequest = (
+    { call, admitted, relay }: ActiveRequest<SomeCall>,
+    attempt: Attempt,
+    count: number,
+  ): void => {
+    const refuse = (why: string): Error => {
+      const server = attempt.server.id;
+      const lastEventId = relay.lastEventId();
+      logger.info('rest of a stream not asked for', { request: call.id, server, lastEventId, why });
+      return createUnconfirmedError(server, why);
+    };
+    if (count === MAX_REQUESTS) throw refuse('it has ended too many parts');
+    if (!attempt.maySend()) throw refuse('it may not receive the request any more');
+    // No other server may be asked either, and the server is not at fault.
+    if (!budget.takeRetry(admitted.service))
+      throw createTargetFailedRefusal(refuse('the retry budget is used up'));
   };
 
   return async (request, attempt) => {
-    const { call, admitted, relay } = request;
-    let hasReceived = false;
     for (let count = 0; isUnmarked(request); count += 1) {
-      const obstacle = findObstacle(attempt, count, admitted.service);
-      if (obstacle !== undefined) {
-        logger.info('rest of a stream not asked for', {
-          request: call.id,
-          server: attempt.server.id,
-          lastEventId: relay.lastEventId(),
-          why: obstacle,
-        });
-        // The server has ended a part in order before, so that its word for the end is not enough.
-        if (hasReceived) throw createIncompleteError(attempt.server.id);
-        return;
-      }
+      requireRequest(request, attempt, count);
       // eslint-disable-next-line no-await-in-loop -- each request begins where the one before has ended
       const { bytes, failure } = await ask(request, attempt);
-      if (failure !== undefined && (bytes > 0 || hasReceived)) throw failure;
+      if (failure !== undefined) throw describeFailure(attempt.server.id, failure);
       if (bytes === 0) return;
-      hasReceived = true;
     }
   };
 }
--- a/packages/serving/test/crashing.ts
+++ b/packages/serving/test/crashing.ts
@@ -71,6 +71,8 @@
   readonly send: SendCall<Call>;
   readonly route?: Partial<Route>;
   readonly workspaces?: readonly Workspace[];
+  /** Retries that a host may send besides those that its requests allow; 56 by default. */
+  readonly retrySlack?: number;
   /** Limits that servers have named; created for this host by default. */
   readonly limits?: ServerLimits;
   /** Asks a server process for an answer; by default it answers if it runs. */
@@ -214,7 +216,7 @@
     budget: createRetryBudget({
       clock,
       retriesPerRequest: 0.2,
-      slack: 56,
+      slack: options.retrySlack ?? 56,
       windowMilliseconds: 10_000,
       hosts: () => 1,
     }),
--- a/packages/serving/test/ends.ts
+++ b/packages/serving/test/ends.ts
@@ -3,7 +3,13 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock, type ManualClock } from '@bulrushspar/clock';
 import { createPromptPartTracker } from '@bulrushspar/routing';
-import { PROCESS_STATE, type AnswerSink, type Call, type ProcessState } from '@bulrushspar/serving';
+import {
+  PROCESS_STATE,
+  type AnswerSink,
+  type Attempt,
+  type Call,
+  type ProcessState,
+} from '@bulrushspar/serving';
 import { EXCHANGE_PROGRESS } from '@bulrushspar/targets';
 import {
   advance,
@@ -14,11 +20,15 @@
   createTestHost,
   type TestAnswer,
   type TestHost,
+  type TestServer,
 } from './crashing.js';
 
 interface EndsWorld {
   clock: ManualClock;
   host: TestHost;
+  servers: TestServer[];
+  /** Id of the server that began to answer. */
+  firstServer?: string;
   sent: string;
   /** What the server does once it has ended the answer. */
   behaviour: string;
@@ -45,11 +55,12 @@
   'a resumable stream': { kind: 'stream', attempts: 2, resumable: true },
 };
 
-const createCall = (id: string): Call => ({
+const createCall = (id: string, lastEventId?: string): Call => ({
   id,
   host: 'example',
   path: '/r/1',
   fingerprint: () => id,
+  ...(lastEventId === undefined ? {} : { lastEventId }),
 });
 
 const createHead = ({ clock, passingHost }: EndsWorld, framed: boolean) => ({
@@ -69,11 +80,12 @@
 /** Sends what follows an event of a stream of two events. */
 async function answerRest(
   world: EndsWorld,
-  lastEventId: string,
+  { server, lastEventId }: Attempt,
   sink: AnswerSink,
   signal: AbortSignal,
 ): Promise<void> {
-  const { clock, rest } = world;
+  const { clock } = world;
+  const rest = server.id === world.firstServer ? world.rest : 'marks its end';
   const restRequests = world.restRequests + 1;
   Object.assign(world, { restRequests });
   if (rest === 'is silent') {
@@ -83,6 +95,11 @@
   }
   await clock.delay(RUN_MILLISECONDS);
   if (rest === 'refuses it') throw createCut(EXCHANGE_PROGRESS.NOT_SENT);
+  if (rest === 'crashes at once') throw createCut(EXCHANGE_PROGRESS.SENT);
+  if (rest === 'rejects it') {
+    sink.onHead({ ...createHead(world, true), status: 503, notRun: true }, flow);
+    return;
+  }
   sink.onHead(createHead(world, rest === 'marks its end'), flow);
   if (lastEventId === '1' || rest === 'ends a part again')
     sink.onData(createEvent(Number(lastEventId) + 1));
@@ -90,12 +107,16 @@
 }
 
 async function answer(world: EndsWorld, call: Call, sink: AnswerSink): Promise<void> {
-  const { clock, sent } = world;
+  const { clock, sent, rest, servers } = world;
   const isOther = call.id === OTHER_CALL;
   await clock.delay(isOther ? OTHER_MILLISECONDS : RUN_MILLISECONDS);
   sink.onHead(createHead(world, isOther), flow);
-  sink.onData(createEvent(1));
+  if (sent !== 'no event') sink.onData(createEvent(1));
   if (sent === 'all') sink.onData(createEvent(2));
+  if (rest === 'is leaving') {
+    Object.assign(servers[0]!, { isLeaving: true });
+    world.host.updateServers();
+  }
 }
 
 async function ask(world: EndsWorld): Promise<ProcessState> {
@@ -114,10 +135,19 @@
 }
 
 Given(
-  /^a server that sends (all|a part) of an answer without a length$/,
+  /^a server that sends (all|a part|no event) of an answer without a length$/,
   function create(this: EndsWorld, sent: string) {
     const clock = createManualClock();
-    Object.assign(this, { clock, sent, questions: 0, rest: '', restRequests: 0, answers: [] });
+    const servers = createServers(1);
+    Object.assign(this, {
+      clock,
+      servers,
+      sent,
+      questions: 0,
+      rest: '',
+      restRequests: 0,
+      answers: [],
+    });
   },
 );
 
@@ -132,6 +162,10 @@
   },
 );
 
+Given('another server that marks the ends of its answers', function add(this: EndsWorld) {
+  this.servers = createServers(2);
+});
+
 Given(
   /^the host that passes the answer on (.+)$/,
   function behave(this: EndsWorld, behaviour: string) {
@@ -140,25 +174,28 @@
 );
 
 function start(world: EndsWorld, delivery: string): void {
-  const { clock, passingHost } = world;
+  const { clock, servers, passingHost, rest } = world;
   const host = createTestHost({
     clock,
-    servers: createServers(1),
+    servers,
     promptParts: createPromptPartTracker({ clock }),
     route: ROUTES[delivery]!,
-    send: (call, { lastEventId }, sink, signal) =>
-      lastEventId === undefined
-        ? answer(world, call, sink)
-        : answerRest(world, lastEventId, sink, signal),
+    send: (call, attempt, sink, signal) => {
+      if (attempt.lastEventId !== undefined && world.firstServer !== undefined)
+        return answerRest(world, attempt, sink, signal);
+      Object.assign(world, { firstServer: attempt.server.id });
+      return answer(world, call, sink);
+    },
     ask: () => ask(world),
     outlivedConnection: async () => passingHost !== 'has started since',
+    ...(rest === 'is beyond the retry budget' ? { retrySlack: 0 } : {}),
   });
   Object.assign(world, { host });
 }
 
-const serve = ({ host }: EndsWorld, id: string): TestAnswer => {
+const serve = ({ host }: EndsWorld, id: string, lastEventId?: string): TestAnswer => {
   const received = createAnswer();
-  host.handler(createCall(id), createReply(received)).catch(assert.fail);
+  host.handler(createCall(id, lastEventId), createReply(received)).catch(assert.fail);
   return received;
 };
 
@@ -174,6 +211,11 @@
   },
 );
 
+When('a caller resumes a stream after event {int}', function call(this: EndsWorld, event: number) {
+  start(this, 'a resumable stream');
+  this.answers.push(serve(this, 'call', String(event)));
+});
+
 When('{int} callers ask for a stream at once', function call(this: EndsWorld, count: number) {
   start(this, 'a stream');
   for (let index = 0; index < count; index += 1) this.answers.push(serve(this, `call-${index}`));
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -56,6 +56,8 @@
   REPLACED: 'replaced',
   /** `maySend` has refused the call once its connection was open. */
   WITHDRAWN: 'withdrawn',
+  /** The connection has ended, and nothing shows that the answer is complete. */
+  UNCONFIRMED: 'unconfirmed',
 } as const;
 
 /** One of {@link EXCHANGE_FAULT}. */
