--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -60,16 +60,18 @@
   if (!model) return false;
   const used = usedMegabytes(state, profile);
   if (request.adapter === undefined) return used + model.megabytes <= profile.weightsMegabytes;
-  const adapters = [...state.models.values()].reduce((sum, held) => sum + held.size, 0);
-  const unconfirmedAdapters = state.unconfirmedLoads.filter(
-    ({ adapter }) => adapter !== undefined,
-  ).length;
   return (
-    adapters + unconfirmedAdapters < profile.adapterSlots &&
+    countAdapters(state) < profile.adapterSlots &&
     used + model.adapterMegabytes <= profile.weightsMegabytes
   );
 }
 
+/** @returns the adapter slots that are taken, or may be by loads without an answer */
+function countAdapters({ models, unconfirmedLoads }: ServerState): number {
+  const held = [...models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
+  return held + unconfirmedLoads.filter(({ adapter }) => adapter !== undefined).length;
+}
+
 /** Sends the orders of one host. */
 export interface OrderSender {
   readonly sendOrder: SendOrder;
@@ -169,6 +171,7 @@
     const sentAt = clock.monotonic();
     Object.assign(state, { lastOrderSentAt: sentAt });
     const expectedSequence = state.sequence;
+    const adapters = countAdapters(state);
     const outcome = await control.order(state.entry, {
       ...request,
       expectedSequence,
@@ -181,6 +184,7 @@
       operation: request.operation,
       model: request.model,
       adapter: request.adapter,
+      adapters,
       expectedSequence,
       fencing: fencingToken,
       outcome,
