--- a/packages/loading/src/book.ts
+++ b/packages/loading/src/book.ts
@@ -14,7 +14,12 @@
   /** Loads without an answer; the server may still execute them until its sequence advances. */
   unconfirmedLoads: { model: string; adapter?: string }[];
   /**
-   * When the server accepted to unload an adapter that requests still use, by model and adapter. The
+   * Expected sequence of each unload of an adapter that got no answer, by model and adapter. The server may
+   * still execute it, or have begun to.
+   */
+  readonly unansweredUnloads: Map<string, number>;
+  /**
+   * When the server accepted to unload an adapter that requests may still use, by model and adapter. The
    * adapter keeps its slot until a report shows that it is gone.
    */
   readonly unloadingAdapters: Map<string, number>;
@@ -66,6 +71,7 @@
     sequence: undefined,
     models: adaptersByModel(entry),
     unconfirmedLoads: [],
+    unansweredUnloads: new Map(),
     unloadingAdapters: new Map(),
     loadedAt: new Map(),
     ordersPausedUntil: 0,
@@ -196,7 +202,7 @@
 }
 
 function removeUnloadedAdapters(
-  { unloadingAdapters }: ServerState,
+  { unloadingAdapters, unansweredUnloads }: ServerState,
   models: ReadonlyMap<string, ReadonlySet<string>>,
 ): void {
   const held = new Set(
@@ -204,8 +210,10 @@
       [...adapters].map((adapter) => adapterKey(model, adapter)),
     ),
   );
-  [...unloadingAdapters.keys()].forEach((key) => {
-    if (!held.has(key)) unloadingAdapters.delete(key);
+  [...unloadingAdapters.keys(), ...unansweredUnloads.keys()].forEach((key) => {
+    if (held.has(key)) return;
+    unloadingAdapters.delete(key);
+    unansweredUnloads.delete(key);
   });
 }
 
--- a/packages/loading/src/issue.ts
+++ b/packages/loading/src/issue.ts
@@ -23,6 +23,9 @@
   readonly profile: (service: string) => EngineProfile | undefined;
 }
 
+/** An order with the number of orders that the server was to have accepted before. */
+type SentOrder = OrderRequest & { readonly expectedSequence: number };
+
 /** Sends an order to a server, after all earlier orders to that server. */
 export type SendOrder = (state: ServerState, request: OrderRequest) => Promise<OrderOutcome>;
 
@@ -118,15 +121,17 @@
   /** Updates the state of a server with the outcome of an order. */
   const recordOutcome = (
     state: ServerState,
-    request: OrderRequest,
+    { operation, model, adapter, expectedSequence }: SentOrder,
     outcome: OrderOutcome,
   ): void => {
-    const { operation, model, adapter } = request;
     const updated = state;
     const isLoad = operation === ORDER_OPERATION.LOAD;
+    const isAdapterUnload = !isLoad && adapter !== undefined;
     if (outcome === ORDER_OUTCOME.UNKNOWN) {
       if (isLoad)
         updated.unconfirmedLoads.push({ model, ...(adapter === undefined ? {} : { adapter }) });
+      else if (isAdapterUnload)
+        updated.unansweredUnloads.set(adapterKey(model, adapter), expectedSequence);
       pauseOrders(updated, UNKNOWN_OUTCOME_PAUSE_MILLISECONDS);
       return;
     }
@@ -135,16 +140,26 @@
       pauseOrders(updated, REJECTION_PAUSE_MILLISECONDS);
       return;
     }
-    // A server answers 200 both to an order without effect and to the unload of an idle adapter, so
-    // the unload of an adapter counts with either outcome.
-    const advancesSequence =
-      outcome === ORDER_OUTCOME.ACCEPTED || (!isLoad && adapter !== undefined);
+    // A server confirms both the unload of an idle adapter, which it counts, and an order without effect, such
+    // as an unload that it has accepted before and that waits for requests. Only a report tells them apart then.
+    if (isAdapterUnload && outcome === ORDER_OUTCOME.HOLDS) {
+      const key = adapterKey(model, adapter);
+      if (updated.unansweredUnloads.has(key) || updated.unloadingAdapters.has(key)) {
+        updated.unloadingAdapters.set(key, clock.monotonic());
+        updated.sequence = undefined;
+        return;
+      }
+    }
+    const advancesSequence = outcome === ORDER_OUTCOME.ACCEPTED || isAdapterUnload;
     if (advancesSequence && updated.sequence !== undefined) {
       updated.sequence += 1;
       updated.sequenceAdvancedAt = clock.monotonic();
       // Unanswered orders expected the sequence number that this order has used, so that the server
       // can no longer accept them.
       updated.unconfirmedLoads = [];
+      updated.unansweredUnloads.forEach((sequence, key) => {
+        if (sequence === expectedSequence) updated.unansweredUnloads.delete(key);
+      });
     }
     if (adapter === undefined) return;
     const held = updated.models.get(model);
@@ -178,7 +193,8 @@
       holder,
       fencing: fencingToken,
     });
-    if (outcome !== ORDER_OUTCOME.CONFLICT) recordOutcome(state, request, outcome);
+    if (outcome !== ORDER_OUTCOME.CONFLICT)
+      recordOutcome(state, { ...request, expectedSequence }, outcome);
     logger.info('order', {
       server: state.entry.id,
       operation: request.operation,
--- a/packages/loading/test/commander.feature
+++ b/packages/loading/test/commander.feature
@@ -134,6 +134,26 @@
     And adapters "9" of "a" are requested at once
     Then no order exceeded the server's capacity
 
+  # Guards against a load over the adapter slots after the unload of an adapter in use was sent twice.
+  Scenario Outline: The unload of an adapter in use gets no answer, and is confirmed when it is sent again
+    Given a server and its coordinator
+    And the server confirms orders that have no effect
+    When adapters "1 2 3 4 5 6 7 8" of "a" are requested at once
+    And all adapters are in use for the next 9 s
+    And the first 1 orders get no answer and are executed after <seconds> s
+    And adapters "9" of "a" are requested at once
+    And adapters "9" of "a" are requested at once
+    And adapters "10" of "a" are requested at once
+    And adapters "9" of "a" are requested at once
+    Then no order exceeded the server's capacity
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 0.5     |
+      | 3       |
+
   Scenario: Any sequence of wants, lost and late answers, restarts and changes of the lease
     Then 400 generated sequences of events never exceed the server's capacity
     And 400 generated sequences of events, with shared capacity, never exceed the server's capacity
+    And 400 generated sequences of events, with repeated orders confirmed, never exceed the server's capacity
--- a/packages/loading/test/commander.ts
+++ b/packages/loading/test/commander.ts
@@ -48,6 +48,8 @@
   unloadMilliseconds: number;
   /** Number of next orders that the server accepts without incrementing its sequence. */
   uncountedOrders: number;
+  /** Whether an order for an adapter that has no effect is confirmed, whatever sequence it expects, and not counted. */
+  confirmsRepeatedOrders: boolean;
   /** Time on the clock until which every adapter has running requests. */
   adaptersInUseUntil: number;
   restart(): void;
@@ -90,6 +92,8 @@
   let sequence = 0;
   let busy = false;
   const reports: { at: number; report: ServerReport }[] = [];
+  /** Adapters that wait for the requests that use them. */
+  const unloading = new Set<string>();
 
   const residentModels = () =>
     [...engine.models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }));
@@ -131,7 +135,17 @@
     });
   };
 
-  const executeOrder = ({ operation, model, adapter, expectedSequence }: Order): OrderOutcome => {
+  /** Whether the server holds what an order for an adapter asks for, or is about to. */
+  const alreadyHolds = ({ operation, model, adapter }: Order): boolean => {
+    if (adapter === undefined) return false;
+    const isHeld = engine.models.get(model)?.has(adapter) ?? false;
+    if (operation === ORDER_OPERATION.LOAD) return isHeld;
+    return !isHeld || unloading.has(`${model}/${adapter}`);
+  };
+
+  const executeOrder = (order: Order): OrderOutcome => {
+    const { operation, model, adapter, expectedSequence } = order;
+    if (engine.confirmsRepeatedOrders && alreadyHolds(order)) return ORDER_OUTCOME.HOLDS;
     if (busy || expectedSequence !== sequence) return ORDER_OUTCOME.CONFLICT;
     const isCounted = engine.uncountedOrders <= 0;
     engine.uncountedOrders -= 1;
@@ -149,9 +163,11 @@
     const inUseFor = engine.adaptersInUseUntil - clock.monotonic();
     if (operation === ORDER_OPERATION.UNLOAD && inUseFor > 0) {
       const start = born;
+      unloading.add(`${model}/${adapter}`);
       // The unload waits until no request uses the adapter; the server accepts other orders.
       clock.after(inUseFor, () => {
         if (start !== born) return;
+        unloading.delete(`${model}/${adapter}`);
         adapters.delete(adapter);
         recordReport();
       });
@@ -179,6 +195,7 @@
     lateExecutionMilliseconds: undefined,
     unloadMilliseconds: 20,
     uncountedOrders: 0,
+    confirmsRepeatedOrders: false,
     adaptersInUseUntil: 0,
     startOrder,
     entry: () => ({
@@ -216,6 +233,7 @@
       born += 1;
       sequence = 0;
       busy = false;
+      unloading.clear();
       engine.models = new Map();
       recordReport();
     },
@@ -483,6 +501,10 @@
   },
 );
 
+Given('the server confirms orders that have no effect', function set(this: CoordinatorWorld) {
+  this.fakeEngine.confirmsRepeatedOrders = true;
+});
+
 Given(
   'all adapters are in use for the next {int} s',
   function use(this: CoordinatorWorld, seconds: number) {
@@ -531,14 +553,15 @@
 }
 
 Then(
-  /^(\d+) generated sequences of events(, with shared capacity,)? never exceed the server's capacity$/,
+  /^(\d+) generated sequences of events(, with shared capacity,|, with repeated orders confirmed,)? never exceed the server's capacity$/,
   { timeout: 120_000 },
-  async (count: string, shared: string | null) => {
+  async (count: string, variant: string | null) => {
     const numRuns = Number(count);
-    const sharesCapacity = Boolean(shared);
+    const sharesCapacity = variant?.includes('shared') ?? false;
+    const confirmsRepeatedOrders = variant?.includes('confirmed') ?? false;
     const property = fc.asyncProperty(generatedPlan, async (plan) => {
       const clock = createManualClock();
-      const fakeEngine = createFakeEngine(clock, 's1');
+      const fakeEngine = Object.assign(createFakeEngine(clock, 's1'), { confirmsRepeatedOrders });
       const world = { clock, fakeEngine, holdsLease: true, sharesCapacity } as CoordinatorWorld;
       startCoordinator(world);
       for (const [event, pauseMilliseconds] of plan) {
