--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type Socket } from 'node:net';
+import { detectResets } from '@bulrushspar/targets';
 
 /** Modes of a relay: how it treats connections and the data on them. */
 export const RELAY_MODE = {
@@ -48,6 +49,7 @@
       return;
     }
     const targetSocket = connect(targetPort, LOOPBACK);
+    detectResets(targetSocket, { pauseMilliseconds: 1 });
     const connection: OpenConnection = {
       silent: mode === RELAY_MODE.CUT,
       answersDropped: false,
@@ -80,7 +82,8 @@
         if (!connection.silent) closeConnection();
       });
       from.on('error', ({ code }: NodeJS.ErrnoException) => {
-        if (code === 'ECONNRESET' && !connection.silent) to.resetAndDestroy();
+        const isReset = code === 'ECONNRESET' || code === 'EPIPE';
+        if (isReset && !connection.silent) to.resetAndDestroy();
       });
     });
   };
--- a/packages/targets/test/resets.ts
+++ b/packages/targets/test/resets.ts
@@ -28,6 +28,10 @@
   'resets the connection 5 ms later': (socket) => {
     setTimeout(() => socket.resetAndDestroy(), PAUSE_MILLISECONDS);
   },
+  'ends it, and resets it 5 ms later': (socket) => {
+    socket.end();
+    setTimeout(() => socket.resetAndDestroy(), PAUSE_MILLISECONDS);
+  },
   'closes it with the request unread': (socket) => socket.destroy(),
   'ends it in order, and reads no more': (socket) => socket.end(),
   'ends it in order': (socket) => socket.end(() => socket.destroy()),
