--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -66,3 +66,4 @@
   type BufferingWriterOptions,
   type MeasuredWriter,
 } from './writer.js';
+export { boundConnections, type ConnectionLimitOptions } from './connections.js';
