--- a/packages/entry/src/relays.ts
+++ b/packages/entry/src/relays.ts
@@ -50,7 +50,7 @@
   readonly onUnusable?: () => void;
 }
 
-/** Number of hosts that are asked for one connection; most of a failure domain may be cut off. */
+/** Number of hosts that are asked for one connection. */
 const MAX_HOSTS_ASKED = 5;
 /** Longest wait for a host; it answers within a few milliseconds. */
 const HOST_TIMEOUT_MILLISECONDS = 250;
@@ -74,17 +74,23 @@
   const isStopping = (host: string): boolean =>
     (stoppingUntil.get(host) ?? -Infinity) > clock.monotonic();
 
-  /** Lists the host that has helped last, and then the others, those of the own failure domain first. */
+  /**
+   * Lists the host that has helped last, and then one of each failure domain in turn, first of the own one: all
+   * hosts of a failure domain may be cut off.
+   */
   const rankHosts = (): readonly RelayHost[] => {
-    const rank = (host: RelayHost): number =>
-      (host.host === lastHost ? -1 : 0) +
-      (host.failureDomain === failureDomain ? 0 : 1) +
-      random() / 2;
-    return listHosts()
+    const countByDomain = new Map<string, number>();
+    const ranked = listHosts()
       .filter(({ host }) => !isStopping(host))
-      .map((host) => ({ host, rank: rank(host) }))
-      .sort((first, second) => first.rank - second.rank)
-      .map(({ host }) => host);
+      .map((host) => ({ host, order: host.host === lastHost ? -1 : random() }))
+      .sort((first, second) => first.order - second.order)
+      .map(({ host, order }) => {
+        const round = countByDomain.get(host.failureDomain) ?? 0;
+        countByDomain.set(host.failureDomain, round + 1);
+        const isOther = host.failureDomain === failureDomain ? 0 : 1;
+        return { host, rank: order < 0 ? -1 : 2 * round + isOther + order / 2 };
+      });
+    return ranked.sort((first, second) => first.rank - second.rank).map(({ host }) => host);
   };
 
   return {
