--- a/packages/routing/src/body.ts
+++ b/packages/routing/src/body.ts
@@ -93,7 +93,7 @@
   return new Promise((resolve, reject) => {
     const holding = memory.open(() => fail(BODY_FAULT.NO_MEMORY));
     const declaredBytes = Number(request.headers['content-length'] ?? NaN);
-    const blocks = createBlockQueue(memory.pool);
+    const blocks = createBlockQueue({ pool: memory.pool });
     /** The body, if it came in one chunk, which needs no copy then. */
     let onlyChunk: Buffer | undefined;
     let size = 0;
--- a/packages/routing/src/buffer.ts
+++ b/packages/routing/src/buffer.ts
@@ -18,19 +18,29 @@
   /** @returns whether the chunk was added; false if the answer is too large */
   append(chunk: Buffer): boolean;
   bytes(): number;
+  /** @returns the bytes, until the buffer is cleared */
   blocks(): readonly Buffer[];
+  /** @returns the bytes, which are not counted in the memory any more; the buffer is empty then */
+  detach(): readonly Buffer[];
   clear(): void;
 }
 
-/** Blocks up to this size are not taken from a pool, so that small bodies take little memory. */
-const MAX_SMALL_BLOCK_BYTES = 8192;
+/** Options of {@link createBlockQueue}. */
+export interface BlockQueueOptions {
+  /** Gives the largest blocks, and gets them back with `clear`; nobody may use them any more then. */
+  readonly pool?: BlockPool;
+  /** Blocks up to this size are not taken from the pool, so that few bytes take little memory; 8192 by default. */
+  readonly maxSmallBytes?: number;
+}
+
+const DEFAULT_MAX_SMALL_BYTES = 8192;
 
 /**
  * Creates an empty queue. Chunks are copied into blocks, since a chunk of one byte would keep the whole
  * buffer of the socket in memory.
- * @param pool gives the largest blocks, and gets them back with `clear`; nobody may use them any more then
  */
-export function createBlockQueue(pool?: BlockPool): BlockQueue {
+export function createBlockQueue(options: BlockQueueOptions = {}): BlockQueue {
+  const { pool, maxSmallBytes = DEFAULT_MAX_SMALL_BYTES } = options;
   let blocks: Buffer[] = [];
   let heldBytes = 0;
   let freeBytes = 0;
@@ -43,7 +53,7 @@
       const rest = chunk.length - fitting;
       if (rest > 0) {
         const size = Math.max(rest, Math.min(heldBytes, BLOCK_BYTES));
-        const isPooled = pool && size > MAX_SMALL_BLOCK_BYTES && size <= BLOCK_BYTES;
+        const isPooled = pool && size > maxSmallBytes && size <= BLOCK_BYTES;
         const block = isPooled ? pool.take() : Buffer.alloc(size);
         chunk.copy(block, 0, fitting);
         blocks.push(block);
@@ -77,8 +87,12 @@
 
 /** Creates an empty buffer, whose bytes count in the memory of its host. */
 export function createAnswerBuffer(memory: ByteMemory): AnswerBuffer {
-  const queue = createBlockQueue();
+  const queue = createBlockQueue({ pool: memory.pool, maxSmallBytes: BLOCK_BYTES / 2 });
   const holding = memory.open();
+  const clear = (): void => {
+    holding.close();
+    queue.clear();
+  };
   return {
     append: (chunk) => {
       if (!holding.resize(queue.bytes() + chunk.length)) return false;
@@ -87,9 +101,14 @@
     },
     bytes: queue.bytes,
     blocks: queue.blocks,
-    clear: () => {
-      holding.close();
-      queue.clear();
+    detach: () => {
+      // A block of the pool is used again, while what is sent is read later.
+      const blocks = queue
+        .blocks()
+        .map((block) => (block.buffer.byteLength > block.length ? Buffer.from(block) : block));
+      clear();
+      return blocks;
     },
+    clear,
   };
 }
--- a/packages/routing/src/events.ts
+++ b/packages/routing/src/events.ts
@@ -1,4 +1,5 @@
 import { createBlockQueue } from './buffer.js';
+import { BLOCK_BYTES, type BlockPool } from './pool.js';
 
 /** Incremental parser that splits an event stream into complete events. */
 export interface EventSplitter {
@@ -8,6 +9,8 @@
   lastEventId(): string | undefined;
   /** Number of buffered bytes of an incomplete event. */
   pendingBytes(): number;
+  /** Releases the buffered bytes of an incomplete event. */
+  clear(): void;
 }
 
 /** Finds the ends of events in a stream whose lines end with LF, CR or CRLF. */
@@ -49,10 +52,13 @@
   };
 }
 
-/** Creates a splitter for one event stream. */
-export function createEventSplitter(): EventSplitter {
+/**
+ * Creates a splitter for one event stream.
+ * @param pool gives the blocks for large incomplete events
+ */
+export function createEventSplitter(pool?: BlockPool): EventSplitter {
   const scanner = createEventScanner();
-  const pending = createBlockQueue();
+  const pending = createBlockQueue({ ...(pool ? { pool } : {}), maxSmallBytes: BLOCK_BYTES / 2 });
   let lastEventId: string | undefined;
 
   const hold = (bytes: Buffer): void => {
@@ -74,5 +80,6 @@
     },
     lastEventId: () => lastEventId,
     pendingBytes: pending.bytes,
+    clear: pending.clear,
   };
 }
--- a/packages/routing/src/relay.ts
+++ b/packages/routing/src/relay.ts
@@ -7,6 +7,7 @@
   type EventSplitter,
 } from './events.js';
 import { createByteMemory, type ByteMemory } from './memory.js';
+import type { BlockPool } from './pool.js';
 
 /** Writes an answer to its caller. */
 export interface AnswerWriter {
@@ -98,6 +99,8 @@
   readonly lastEventId?: string;
   /** Forwards only complete events, so that the stream can resume on another server. */
   readonly resumable: boolean;
+  /** Gives the blocks for large incomplete events. */
+  readonly pool?: BlockPool | undefined;
   /** Called with the bytes of an incomplete event that are held. */
   readonly onPending?: (bytes: number) => void;
   /** Creates the error for a stream that ended within an event or could not be resumed. */
@@ -162,10 +165,8 @@
       // whole. All of the answer is written at once, so that the end of this host does not cut it.
       const length = head.framed ? ['content-length', String(bodyBytes)] : [];
       writer.writeHead(head.status, [...head.headers, ...length], head.framed);
-      const blocks = buffer.blocks();
       // The writer may count the bytes itself from here on.
-      buffer.clear();
-      blocks.forEach((block) => {
+      buffer.detach().forEach((block) => {
         onChunk(block);
         writer.write(block);
       });
@@ -236,7 +237,8 @@
 
   return {
     openSink: ({ continues = false } = {}) => {
-      splitter = resumable ? createEventSplitter() : undefined;
+      splitter?.clear();
+      splitter = resumable ? createEventSplitter(options.pool) : undefined;
       scanner = createEventScanner();
       if (pendingBytes > 0) onPending(0);
       holding?.close();
@@ -264,7 +266,10 @@
       pendingBytes === 0 &&
       lastEventId !== undefined &&
       (attemptBytes > 0 || !writer.hasBegun()),
-    close: () => holding?.close(),
+    close: () => {
+      splitter?.clear();
+      holding?.close();
+    },
     finish: () => {
       if (!currentHead) throw createNoAnswerError();
       if (pendingBytes > 0 || scanner?.isInsideEvent() || isEndedBeforeFirstEvent())
--- a/packages/serving/src/answer.ts
+++ b/packages/serving/src/answer.ts
@@ -128,6 +128,7 @@
     onPending: outlet?.setPendingBytes,
     // The outlet counts them itself.
     memory: outlet ? undefined : memory,
+    pool: memory?.pool,
     onFirstByte,
     check,
     lastEventId,
